--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for developers and CI. Every target works on a fresh machine with Go and a module proxy.
-MODULES := core io standin cmd bench
+MODULES := core io platform standin cmd bench
 LINTER_VERSION := v2.15.0
 LINTER := bin/golangci-lint
 SITE ?= kingston
--- /dev/null
+++ b/cmd/auburnstack/entry.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"auburnstack/io/linelog"
+	"auburnstack/platform/entry"
+)
+
+// settingsVariable names the settings file when the command line does not.
+const settingsVariable = "AUBURNSTACK_SETTINGS"
+
+type entryCommand struct {
+	Settings string `arg:"env:AUBURNSTACK_SETTINGS" help:"INI file with the VM's settings"`
+	Check    bool   `help:"only check the settings"`
+	LogLevel string `arg:"--log-level" default:"info" help:"trace, debug, info, warn or error"`
+}
+
+func (c *entryCommand) run(ctx context.Context) error {
+	if c.Settings == "" {
+		return &exitError{code: exitMistakes, cause: "--settings or " + settingsVariable + " is required"}
+	}
+	if c.Check {
+		if err := entry.Check(c.Settings); err != nil {
+			return &exitError{code: exitMistakes, cause: err.Error()}
+		}
+		return nil
+	}
+	lines := linelog.New(os.Stdout)
+	defer lines.Close()
+	log := hclog.New(&hclog.LoggerOptions{
+		Level: hclog.LevelFromString(c.LogLevel), JSONFormat: true, Output: lines, DisableTime: false,
+	})
+	daemon, err := entry.New(c.Settings, log)
+	if err != nil {
+		log.Error("not started", "error", err.Error())
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	for {
+		select {
+		case <-ctx.Done():
+			begun := time.Now()
+			log.Info("leaving")
+			daemon.Close()
+			log.Info("stopped", "took", time.Since(begun).String())
+			return nil
+		case <-reload:
+			if err := daemon.Reload(); err != nil {
+				log.Error("settings not reloaded", "error", fmt.Sprint(err))
+			}
+		}
+	}
+}
--- a/cmd/auburnstack/main.go
+++ b/cmd/auburnstack/main.go
@@ -13,6 +13,7 @@
 
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run the daemon of an entry VM"`
+	Entry    *entryCommand    `arg:"subcommand:entry" help:"run the daemon of an entry VM on the users' platform"`
 	Tables   *tablesCommand   `arg:"subcommand:tables" help:"read and edit the operators' tables"`
 	Request  *requestCommand  `arg:"subcommand:request" help:"send an urgent request"`
 	Job      *jobCommand      `arg:"subcommand:job" help:"submit and follow jobs"`
@@ -58,6 +59,8 @@
 	switch {
 	case args.Serve != nil:
 		return args.Serve.run(ctx)
+	case args.Entry != nil:
+		return args.Entry.run(ctx)
 	case args.Tables != nil:
 		return args.Tables.run(ctx, parser)
 	case args.Request != nil:
--- /dev/null
+++ b/core/graph/task.go
@@ -0,0 +1,48 @@
+package graph
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Run numbers the starts of a task from 1. It is stored before the start and never falls.
+type Run int64
+
+// TaskID identifies a task of a job.
+type TaskID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// ErrTaskID reports text that names no task.
+var ErrTaskID = errors.New("the text names no task")
+
+// taskIDFields is the number of parts of a task's name.
+const taskIDFields = 4
+
+// ParseTaskID reads what String writes.
+func ParseTaskID(text string) (TaskID, error) {
+	fields := strings.Split(text, ".")
+	if len(fields) != taskIDFields {
+		return TaskID{}, errors.WithMessage(ErrTaskID, text)
+	}
+	var numbers [taskIDFields - 1]int
+	for i, field := range fields[1:] {
+		n, err := strconv.Atoi(field)
+		if err != nil || n < 0 {
+			return TaskID{}, errors.WithMessage(ErrTaskID, text)
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: ID(fields[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// String returns the job's ID, occurrence, step and index, separated by dots.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
--- /dev/null
+++ b/core/planner/end.go
@@ -0,0 +1,106 @@
+package planner
+
+import (
+	"time"
+
+	"auburnstack/core/graph"
+)
+
+// memberEnded takes a member off its worker and decides what becomes of its unit.
+func (p *Planner) memberEnded(m *member, kind EndKind, checkpoint string, now time.Time) {
+	u := m.unit
+	if m.state == ended || u.phase == finished {
+		m.release()
+		return
+	}
+	if checkpoint != "" {
+		u.checkpoint = newer(u.checkpoint, checkpoint)
+	}
+	p.judge(m, kind, now)
+	m.release()
+	p.changed = true
+	switch kind {
+	case EndDone:
+		p.unitDone(u, m, now)
+	case EndFailed:
+		if u.failedRun != u.run {
+			u.failedRun = u.run
+			u.failures++
+		}
+		p.unitBroken(u, now)
+	default:
+		p.unitBroken(u, now)
+	}
+}
+
+// judge lets a worker's health follow from the end of a run.
+func (p *Planner) judge(m *member, kind EndKind, now time.Time) {
+	switch kind {
+	case EndDone:
+		m.worker.health.succeeded()
+		p.speeds.observe(m.unit.job.Queue, m.unit.spec().Estimate, now.Sub(m.unit.started))
+	case EndFailed:
+		m.worker.health.failed(m.unit.job.ID, now)
+	default:
+	}
+}
+
+// unitDone finishes a unit. The other members of a gang end by themselves at the same time.
+func (p *Planner) unitDone(u *unit, by *member, now time.Time) {
+	for _, m := range u.members {
+		if m != by && m.state != ended {
+			m.leave()
+		}
+	}
+	u.phase = finished
+	u.job.remaining--
+	if u.job.state.Final() {
+		p.touch(u.job)
+		return
+	}
+	if u.job.remaining == 0 {
+		u.job.state, u.job.ended = graph.Complete, now
+	} else {
+		p.unblock(u.job, now)
+	}
+	p.touch(u.job)
+}
+
+// unitBroken stops the rest of a unit after one of its members has ended, and lets it wait again after the last one.
+func (p *Planner) unitBroken(u *unit, now time.Time) {
+	p.touch(u.job)
+	for _, m := range u.members {
+		if m.state == ended {
+			continue
+		}
+		if u.phase == running {
+			p.stopUnit(u, GangBroken)
+		}
+		return
+	}
+	u.members = nil
+	if u.job.state.Final() {
+		u.phase = blocked
+		return
+	}
+	if limit := u.job.queue.MaxAttempts; limit > 0 && u.failures >= limit && !u.spec().LongRunning {
+		u.phase = blocked
+		p.end(u.job, graph.Failed, "a task has failed as often as the queue allows", JobFailed, now)
+		return
+	}
+	p.wait(u, now)
+}
+
+// ExpireLeases ends what ran on workers whose leases have run out.
+func (p *Planner) ExpireLeases(now time.Time) {
+	for _, w := range p.order {
+		if len(w.members) == 0 || now.Before(w.leaseEnd) {
+			continue
+		}
+		for _, m := range w.sortedMembers() {
+			if m.state != planned {
+				p.memberEnded(m, endLost, "", now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/planner/order.go
@@ -0,0 +1,62 @@
+package planner
+
+import (
+	"sort"
+	"time"
+)
+
+// hopeless is the multiple of its objective after which a job has missed every reward.
+const hopeless = 3
+
+// rank decides which of two waiting units is placed first.
+type rank struct {
+	unit *unit
+	// late is set when the job can't finish within the hopeless multiple of its objective.
+	late     bool
+	priority int
+	// deadline is the objective of the job's completion time.
+	deadline time.Time
+}
+
+// queueOrder returns the waiting units in the order in which they are placed.
+func (p *Planner) queueOrder(now time.Time) []*unit {
+	ranks := make([]rank, 0, len(p.waiting))
+	for u := range p.waiting {
+		ranks = append(ranks, p.rank(u, now))
+	}
+	sort.Slice(ranks, func(i, j int) bool { return ranks[i].before(&ranks[j]) })
+	units := make([]*unit, len(ranks))
+	for i := range ranks {
+		units[i] = ranks[i].unit
+	}
+	return units
+}
+
+func (p *Planner) rank(u *unit, now time.Time) rank {
+	begin := u.job.Accepted
+	if due := u.job.Due(u.occurrence); !due.IsZero() {
+		begin = due
+	}
+	chain := p.speeds.expect(u.job.Queue, u.job.Chain())
+	objective := time.Duration(u.job.queue.Stretch*float64(chain)) + u.job.queue.Target
+	work := p.speeds.expect(u.job.Queue, u.spec().Estimate)
+	return rank{
+		unit:     u,
+		late:     now.Add(work).After(begin.Add(hopeless * objective)),
+		priority: u.job.queue.Priority,
+		deadline: begin.Add(objective),
+	}
+}
+
+func (r *rank) before(other *rank) bool {
+	if r.late != other.late {
+		return other.late
+	}
+	if r.priority != other.priority {
+		return r.priority < other.priority
+	}
+	if !r.deadline.Equal(other.deadline) {
+		return r.deadline.Before(other.deadline)
+	}
+	return r.unit.less(other.unit)
+}
--- /dev/null
+++ b/core/planner/place.go
@@ -0,0 +1,164 @@
+package planner
+
+import (
+	"sort"
+	"time"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/resources"
+)
+
+// splitPatience is how long a unit waits for its rack before it is placed where its tasks take longer.
+const splitPatience = 1500 * time.Millisecond
+
+// candidate is a worker with the number of a unit's tasks that it can take.
+type candidate struct {
+	worker *worker
+	count  int
+	// left is what would be free after those tasks, for the tightest fit.
+	left resources.Amounts
+}
+
+// room tells what a worker can give to a unit.
+type room func(*worker) resources.Amounts
+
+// place returns workers for all tasks of a unit, or nil if there is no room.
+func (p *Planner) place(u *unit, now time.Time) []*worker {
+	return p.placeIn(u, now, (*worker).free)
+}
+
+func (p *Planner) placeIn(u *unit, now time.Time, free room) []*worker {
+	candidates := p.candidates(u, now, free)
+	step := u.spec()
+	if !p.enough(candidates, u.size()) {
+		return nil
+	}
+	if rack := step.DataRack; rack != "" {
+		if places := pick(inRack(candidates, endpoint.Rack(rack)), u.size()); places != nil {
+			return places
+		}
+	}
+	if step.SameRack || step.DataRack != "" {
+		if places := p.pickRack(candidates, u.size()); places != nil && step.DataRack == "" {
+			return places
+		}
+		if now.Sub(u.since) < splitPatience {
+			return nil
+		}
+	}
+	return pick(candidates, u.size())
+}
+
+func (p *Planner) enough(candidates []candidate, size int) bool {
+	total := 0
+	for i := range candidates {
+		total += candidates[i].count
+	}
+	return total >= size
+}
+
+// candidates lists the workers that can take at least one task of a unit.
+func (p *Planner) candidates(u *unit, now time.Time, free room) []candidate {
+	step := u.spec()
+	var list []candidate
+	for _, w := range p.order {
+		if w.Service != u.job.queue.Service || !p.accepts(w, now) || step.Label != "" && !w.HasLabel(step.Label) {
+			continue
+		}
+		limit := u.size()
+		if step.SpreadLimit > 0 {
+			limit = min(limit, step.SpreadLimit-w.sharing(u))
+		}
+		available := free(w)
+		if count := available.Count(step.Needs, limit); count > 0 {
+			list = append(list, candidate{worker: w, count: count, left: available.Sub(step.Needs.Times(count))})
+		}
+	}
+	return list
+}
+
+// sharing counts the tasks of a unit's step and occurrence on a worker.
+func (w *worker) sharing(u *unit) int {
+	count := 0
+	for m := range w.members {
+		if m.unit.job == u.job && m.unit.step == u.step && m.unit.occurrence == u.occurrence {
+			count++
+		}
+	}
+	return count
+}
+
+func inRack(candidates []candidate, rack endpoint.Rack) []candidate {
+	var list []candidate
+	for _, c := range candidates {
+		if c.worker.Rack == rack {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// pickRack returns places in the one rack that they fill best, or nil.
+func (p *Planner) pickRack(candidates []candidate, size int) []*worker {
+	totals := map[endpoint.Rack]int{}
+	var racks []endpoint.Rack
+	for _, c := range candidates {
+		if totals[c.worker.Rack] == 0 {
+			racks = append(racks, c.worker.Rack)
+		}
+		totals[c.worker.Rack] += c.count
+	}
+	best := endpoint.Rack("")
+	found := false
+	for _, rack := range racks {
+		if totals[rack] >= size && (!found || totals[rack] < totals[best]) {
+			best, found = rack, true
+		}
+	}
+	if !found {
+		return nil
+	}
+	return pick(inRack(candidates, best), size)
+}
+
+// pick returns places for a number of tasks on the workers that they fill best, or nil.
+func pick(candidates []candidate, size int) []*worker {
+	sort.SliceStable(candidates, func(i, j int) bool { return tighter(&candidates[i], &candidates[j]) })
+	places := make([]*worker, 0, size)
+	for _, c := range candidates {
+		for range min(c.count, size-len(places)) {
+			places = append(places, c.worker)
+		}
+		if len(places) == size {
+			return places
+		}
+	}
+	return nil
+}
+
+func tighter(a, b *candidate) bool {
+	if a.left.Accelerators != b.left.Accelerators {
+		return a.left.Accelerators < b.left.Accelerators
+	}
+	return a.left.CPU < b.left.CPU
+}
+
+// fitsEver tells whether the registered workers could hold a step if nothing else ran.
+func (p *Planner) fitsEver(step *graph.Step, service string) bool {
+	need := 1
+	if step.Gang {
+		need = step.Tasks
+	}
+	total := 0
+	for _, w := range p.order {
+		if w.Service == service && (step.Label == "" || w.HasLabel(step.Label)) {
+			limit := need
+			if step.SpreadLimit > 0 {
+				limit = min(limit, step.SpreadLimit)
+			}
+			total += w.Capacity.Count(step.Needs, limit)
+		}
+	}
+	return total >= need
+}
--- /dev/null
+++ b/core/planner/plan.go
@@ -0,0 +1,143 @@
+package planner
+
+import (
+	"time"
+
+	"auburnstack/core/roster"
+)
+
+// stallLimit is how long a running task may show no progress.
+const stallLimit = 2500 * time.Millisecond
+
+// Plan returns the actions that the events since the last call have made possible. Placements become visible as
+// changes that have to be stored; their starts are returned by a later call.
+func (p *Planner) Plan(now time.Time) []Action {
+	p.ExpireLeases(now)
+	p.unblockDue(now)
+	p.stopStalled(now)
+	if p.changed {
+		p.changed = false
+		p.launchVacated(now)
+		p.placeWaiting(now)
+	}
+	actions := p.actions
+	p.actions = nil
+	return actions
+}
+
+// Tick makes the next call of Plan look at all units again, as time alone can make a placement possible.
+func (p *Planner) Tick() {
+	p.changed = true
+}
+
+func (p *Planner) unblockDue(now time.Time) {
+	for _, j := range p.jobs {
+		if j.Recurrence != nil && !j.state.Final() {
+			p.unblock(j, now)
+		}
+	}
+}
+
+func (p *Planner) placeWaiting(now time.Time) {
+	for _, u := range p.queueOrder(now) {
+		places := p.place(u, now)
+		if places == nil && u.job.queue.Priority == 0 {
+			places = p.preemptFor(u, now)
+		}
+		if places == nil {
+			continue
+		}
+		delete(p.waiting, u)
+		u.reserve(places)
+		u.phase = vacating
+		p.planned[u] = struct{}{}
+		p.launchIfVacated(u)
+	}
+}
+
+func (p *Planner) launchVacated(now time.Time) {
+	for _, u := range p.sortedPlanned() {
+		if !p.placesHold(u, now) {
+			p.withdraw(u)
+			p.wait(u, now)
+			continue
+		}
+		p.launchIfVacated(u)
+	}
+}
+
+func (p *Planner) sortedPlanned() []*unit {
+	list := make([]*unit, 0, len(p.planned))
+	for u := range p.planned {
+		list = append(list, u)
+	}
+	sortUnits(list)
+	return list
+}
+
+// placesHold tells whether all workers of a placement still take new tasks.
+func (p *Planner) placesHold(u *unit, now time.Time) bool {
+	for _, m := range u.members {
+		if !p.accepts(m.worker, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// launchIfVacated lets a placement be stored once there is room for all of its tasks.
+func (p *Planner) launchIfVacated(u *unit) {
+	needs := u.spec().Needs
+	for _, m := range u.members {
+		room := m.worker.freeNow()
+		for other := range m.worker.members {
+			if other.state == planned && (other.unit.phase == recording || other.unit == u && other != m) {
+				room = room.Sub(other.unit.spec().Needs)
+			}
+		}
+		if !needs.Fits(room) {
+			return
+		}
+	}
+	delete(p.planned, u)
+	u.phase = recording
+	u.run++
+	p.touch(u.job)
+	u.recordVersion = u.job.version
+}
+
+// stopOnLeaving stops what can't stay: units on workers that leave or whose failure domain was taken out.
+func (p *Planner) stopOnLeaving() {
+	for _, w := range p.order {
+		if w.listed && w.State == roster.Draining {
+			p.stopAll(w, WorkerLeaves)
+		}
+	}
+}
+
+func (p *Planner) stopAll(w *worker, reason StopReason) {
+	for _, m := range w.sortedMembers() {
+		if m.unit.phase == running && m.unit.spec().Checkpoints {
+			p.stopUnit(m.unit, reason)
+		}
+	}
+}
+
+// stopStalled stops units whose tasks make no progress.
+func (p *Planner) stopStalled(now time.Time) {
+	for _, w := range p.order {
+		if !w.answers {
+			continue
+		}
+		for _, m := range w.sortedMembers() {
+			if m.state != active || m.unit.phase != running || m.percent >= 100 || now.Sub(m.percentSince) < stallLimit {
+				continue
+			}
+			w.health.failed(m.unit.job.ID, now)
+			if !m.unit.spec().Gang || w.health.suspended(now) {
+				w.health.suspend(now)
+			}
+			p.stopUnit(m.unit, Stalled)
+		}
+	}
+}
--- /dev/null
+++ b/core/planner/planner.go
@@ -0,0 +1,78 @@
+// Package planner decides which tasks run on which workers. It does no I/O and reads no clock: events come in as method
+// calls, decisions go out as actions, and what must be stored before an action is taken comes out as progress records.
+package planner
+
+import (
+	"time"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/policy"
+)
+
+// Settings are the times and factors of a site.
+type Settings struct {
+	// LeaseLimit is the longest time for which a worker runs tasks without a renewal.
+	LeaseLimit time.Duration
+	// StopTime bounds the time from a stop's arrival to the end of the task.
+	StopTime time.Duration
+	// RemoteFactor is how much longer tasks take away from their data or spread over racks.
+	RemoteFactor float64
+	// EarlyStart is how long before its due time an occurrence may start.
+	EarlyStart time.Duration
+	// RetainFinal is how long the state of a job that has ended is kept.
+	RetainFinal time.Duration
+}
+
+const (
+	// clockDrift is the largest relative error of a worker's steady clock.
+	clockDrift = 0.02
+	// leaseMargin covers the delivery of the last renewal.
+	leaseMargin = 150 * time.Millisecond
+)
+
+// Planner holds the state of all jobs and workers of a site. It is not safe for concurrent use.
+type Planner struct {
+	settings Settings
+	policy   *policy.Policy
+	workers  map[endpoint.Name]*worker
+	// order lists the workers by name, so that decisions repeat.
+	order []*worker
+	jobs  map[graph.ID]*jobState
+	// waiting lists the units that may be placed, in no order.
+	waiting map[*unit]struct{}
+	// planned lists the units that are placed and wait for room.
+	planned map[*unit]struct{}
+	// dirty lists the jobs whose progress has changed since it was last taken.
+	dirty   map[graph.ID]*jobState
+	actions []Action
+	// changed is set when an event may have made a decision possible.
+	changed bool
+	speeds  *speeds
+}
+
+// New returns a planner without workers and jobs.
+func New(settings Settings, p *policy.Policy) *Planner {
+	return &Planner{
+		settings: settings,
+		policy:   p,
+		workers:  map[endpoint.Name]*worker{},
+		jobs:     map[graph.ID]*jobState{},
+		waiting:  map[*unit]struct{}{},
+		planned:  map[*unit]struct{}{},
+		dirty:    map[graph.ID]*jobState{},
+		speeds:   newSpeeds(),
+	}
+}
+
+// SetPolicy replaces the configuration in force.
+func (p *Planner) SetPolicy(next *policy.Policy) {
+	p.policy = next
+	p.changed = true
+}
+
+// leaseEnd returns when a lease that was renewed at a time has ended on any worker's clock.
+func (p *Planner) leaseEnd(renewed time.Time) time.Time {
+	limit := time.Duration(float64(p.settings.LeaseLimit) * (1 + clockDrift))
+	return renewed.Add(limit + leaseMargin)
+}
--- /dev/null
+++ b/core/planner/record.go
@@ -0,0 +1,88 @@
+package planner
+
+import (
+	"sort"
+	"time"
+
+	"auburnstack/core/graph"
+)
+
+// Change is a job's progress that has to be stored.
+type Change struct {
+	Progress graph.Progress
+	// Version is passed back once the progress is stored.
+	Version uint64
+}
+
+// TakeChanges returns at most limit changes, the most urgent first.
+func (p *Planner) TakeChanges(limit int) []Change {
+	ids := make([]*jobState, 0, len(p.dirty))
+	for _, j := range p.dirty {
+		ids = append(ids, j)
+	}
+	sort.Slice(ids, func(a, b int) bool {
+		if ids[a].queue.Priority != ids[b].queue.Priority {
+			return ids[a].queue.Priority < ids[b].queue.Priority
+		}
+		return ids[a].ID < ids[b].ID
+	})
+	changes := make([]Change, 0, min(limit, len(ids)))
+	for _, j := range ids[:min(limit, len(ids))] {
+		delete(p.dirty, j.ID)
+		changes = append(changes, Change{Progress: j.progress(), Version: j.version})
+	}
+	return changes
+}
+
+// HasChanges tells whether progress waits to be stored.
+func (p *Planner) HasChanges() bool {
+	return len(p.dirty) > 0
+}
+
+// NotStored returns changes that could not be stored, so that they are taken again.
+func (p *Planner) NotStored(changes []Change) {
+	for _, change := range changes {
+		if j, known := p.jobs[change.Progress.ID]; known {
+			p.dirty[j.ID] = j
+		}
+	}
+}
+
+// Stored notes that a change has been stored, and starts the units whose placement it holds.
+func (p *Planner) Stored(change Change, now time.Time) {
+	j, known := p.jobs[change.Progress.ID]
+	if !known {
+		return
+	}
+	j.stored = change.Progress.State
+	j.storedVersion = change.Version
+	j.each(func(u *unit) {
+		if u.phase == recording && u.recordVersion <= change.Version {
+			p.start(u, now)
+		}
+	})
+}
+
+func (p *Planner) start(u *unit, now time.Time) {
+	u.phase = running
+	u.started = now
+	for _, m := range u.members {
+		m.percent = -1
+		m.percentSince = now
+		m.order()
+		p.Renewed(m.worker.Name, now)
+		p.actions = append(p.actions, Start{
+			Worker: m.worker.Name, Task: u.task(m.index), Run: u.run, Spec: u.job.Spec, Checkpoint: u.checkpoint,
+		})
+	}
+}
+
+func (j *jobState) progress() graph.Progress {
+	record := graph.Progress{ID: j.ID, State: j.state, Reason: j.reason, Ended: j.ended}
+	j.each(func(u *unit) {
+		if u.run > 0 {
+			record.Units = append(record.Units, u.progress())
+		}
+	})
+	return record
+}
--- /dev/null
+++ b/core/planner/speeds.go
@@ -0,0 +1,43 @@
+package planner
+
+import "time"
+
+// speeds learns how long tasks of a queue take against their estimates.
+type speeds struct {
+	ratio map[string]*average
+}
+
+// average is an exponentially weighted mean.
+type average struct {
+	value float64
+	count int
+}
+
+// learningRate is the weight of a new sample.
+const learningRate = 0.1
+
+func newSpeeds() *speeds {
+	return &speeds{ratio: map[string]*average{}}
+}
+
+func (s *speeds) observe(queue string, estimate, took time.Duration) {
+	if estimate <= 0 {
+		return
+	}
+	a, known := s.ratio[queue]
+	if !known {
+		a = &average{value: 1}
+		s.ratio[queue] = a
+	}
+	a.count++
+	rate := max(learningRate, 1/float64(a.count))
+	a.value += rate * (float64(took)/float64(estimate) - a.value)
+}
+
+// expect returns the time that a task is likely to take.
+func (s *speeds) expect(queue string, estimate time.Duration) time.Duration {
+	if a, known := s.ratio[queue]; known {
+		return time.Duration(a.value * float64(estimate))
+	}
+	return estimate
+}
--- /dev/null
+++ b/core/planner/unit.go
@@ -0,0 +1,194 @@
+package planner
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"auburnstack/core/graph"
+)
+
+// phase is the place of a unit in its life.
+type phase int
+
+const (
+	// blocked units wait for earlier steps or for their due time.
+	blocked phase = iota
+	// waiting units can be placed.
+	waiting
+	// vacating units are placed and wait until there is room.
+	vacating
+	// recording units wait until their placement is stored.
+	recording
+	// running units were ordered to start.
+	running
+	// ending units have lost a member or are being stopped.
+	ending
+	// finished units will not run again.
+	finished
+)
+
+// unit is what is placed as a whole: all tasks of a gang, or one task outside a gang.
+type unit struct {
+	job        *jobState
+	occurrence int
+	step       int
+	// index is the task's; 0 for a gang.
+	index int
+	phase phase
+	run   graph.Run
+	// failures counts the runs that ended as failed.
+	failures int
+	// failedRun is the last run that was counted in failures.
+	failedRun  graph.Run
+	checkpoint string
+	// members of the newest run, by index; empty when nothing of it can run any more.
+	members []*member
+	// since is when the unit began to wait.
+	since time.Time
+	// started is when the newest run was ordered.
+	started time.Time
+	// recordVersion is the job version that holds the newest placement.
+	recordVersion uint64
+}
+
+func (u *unit) spec() *graph.Step {
+	return &u.job.Steps[u.step]
+}
+
+// size returns the number of tasks.
+func (u *unit) size() int {
+	if u.spec().Gang {
+		return u.spec().Tasks
+	}
+	return 1
+}
+
+func (u *unit) task(member int) graph.TaskID {
+	return graph.TaskID{Job: u.job.ID, Occurrence: u.occurrence, Step: u.step, Index: u.index + member}
+}
+
+// less orders units by job and place, so that decisions repeat.
+func (u *unit) less(other *unit) bool {
+	if u.job.ID != other.job.ID {
+		return u.job.ID < other.job.ID
+	}
+	if u.occurrence != other.occurrence {
+		return u.occurrence < other.occurrence
+	}
+	if u.step != other.step {
+		return u.step < other.step
+	}
+	return u.index < other.index
+}
+
+func (u *unit) progress() graph.UnitProgress {
+	record := graph.UnitProgress{
+		Occurrence: u.occurrence, Step: u.step, Index: u.index, Run: u.run, Failures: u.failures,
+		Done: u.phase == finished, Checkpoint: u.checkpoint,
+	}
+	if u.phase == recording || u.phase == running || u.phase == ending {
+		for _, m := range u.members {
+			record.Workers = append(record.Workers, m.worker.Name)
+		}
+	}
+	return record
+}
+
+// memberState is the place of a task's newest run in its life.
+type memberState int
+
+const (
+	// planned members have a place and were not ordered.
+	planned memberState = iota
+	// unknown members were ordered by a predecessor, or without an answer.
+	unknown
+	// active members run.
+	active
+	// ended members can't run any more.
+	ended
+)
+
+// member is one task of a unit's newest run.
+type member struct {
+	unit   *unit
+	index  int
+	worker *worker
+	state  memberState
+	// settled is when the last order about this run was answered; an observation sent later shows whether it runs.
+	settled time.Time
+	// percent is the progress that the worker reported last; percentSince is when it changed.
+	percent      int
+	percentSince time.Time
+	// leaving is set while the member counts in the worker's leaving amounts.
+	leaving bool
+}
+
+func sortUnits(list []*unit) {
+	sort.Slice(list, func(i, j int) bool { return list[i].less(list[j]) })
+}
+
+func (w *worker) sortedMembers() []*member {
+	list := make([]*member, 0, len(w.members))
+	for m := range w.members {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].unit != list[j].unit {
+			return list[i].unit.less(list[j].unit)
+		}
+		return list[i].index < list[j].index
+	})
+	return list
+}
+
+func sortByName(list []*worker) {
+	sort.Slice(list, func(i, j int) bool { return strings.Compare(string(list[i].Name), string(list[j].Name)) < 0 })
+}
+
+// reserve gives a unit's tasks their places.
+func (u *unit) reserve(places []*worker) {
+	u.members = u.members[:0]
+	for i, w := range places {
+		m := &member{unit: u, index: i, worker: w, state: planned}
+		u.members = append(u.members, m)
+		w.members[m] = struct{}{}
+		w.planned = w.planned.Add(u.spec().Needs)
+	}
+}
+
+// order turns a reservation into use.
+func (m *member) order() {
+	needs := m.unit.spec().Needs
+	m.worker.planned = m.worker.planned.Sub(needs)
+	m.worker.running = m.worker.running.Add(needs)
+	m.state = unknown
+}
+
+// leave counts a member as being stopped.
+func (m *member) leave() {
+	if m.leaving || m.state == planned || m.state == ended {
+		return
+	}
+	m.leaving = true
+	m.worker.leaving = m.worker.leaving.Add(m.unit.spec().Needs)
+}
+
+// release takes a member off its worker.
+func (m *member) release() {
+	needs := m.unit.spec().Needs
+	switch m.state {
+	case planned:
+		m.worker.planned = m.worker.planned.Sub(needs)
+	case unknown, active:
+		m.worker.running = m.worker.running.Sub(needs)
+	case ended:
+		return
+	}
+	if m.leaving {
+		m.worker.leaving = m.worker.leaving.Sub(needs)
+		m.leaving = false
+	}
+	m.state = ended
+	delete(m.worker.members, m)
+}
--- /dev/null
+++ b/io/coordinator/flush.go
@@ -0,0 +1,189 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/core/graph"
+	"auburnstack/core/planner"
+	"auburnstack/io/election"
+	"auburnstack/io/store"
+	"auburnstack/io/wait"
+)
+
+// maxFlush bounds the changes of one transaction: each takes a condition and a put, and the leader's key a condition.
+const maxFlush = (store.MaxEntries - 1) / 2
+
+// record is a change in the form in which it is stored.
+type record struct {
+	id       graph.ID
+	key      string
+	value    []byte
+	expected store.Revision
+}
+
+// flush stores the changes of progress; one transaction is under way at a time.
+func (t *term) flush() {
+	if t.flushing || !t.planner.HasChanges() {
+		return
+	}
+	changes := t.planner.TakeChanges(maxFlush)
+	if !t.planner.HasChanges() {
+		t.covered = t.observed
+	}
+	records := make([]record, 0, len(changes))
+	for _, change := range changes {
+		value, err := json.Marshal(change.Progress)
+		if err != nil {
+			t.config.Log.Error("progress not encoded", "job", change.Progress.ID, "error", err.Error())
+			t.role.Resign()
+			return
+		}
+		id := change.Progress.ID
+		records = append(records, record{id: id, key: ProgressKey(id), value: value, expected: t.revisions[id]})
+	}
+	t.flushing = true
+	t.spawn(func() { t.store(changes, records) })
+}
+
+// store repeats a transaction until its outcome is known or the term ends.
+func (t *term) store(changes []planner.Change, records []record) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := context.AfterFunc(t.role.Context(), cancel)
+	defer stop()
+	for t.role.Valid() {
+		begun := time.Now()
+		revisions, err := t.commit(ctx, records)
+		t.config.Metrics.flush(time.Since(begun))
+		if err == nil {
+			t.post(flushed{changes: changes, revisions: revisions, stored: true})
+			return
+		}
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			t.config.Log.Warn("progress was changed by another leader", "fence", t.role.Fence)
+			t.role.Resign()
+			return
+		}
+		t.config.Log.Warn("progress not stored", "jobs", len(records), "error", err.Error())
+		wait.For(ctx, retryPause)
+	}
+	t.post(flushed{changes: changes})
+}
+
+func (t *term) commit(ctx context.Context, records []record) (map[graph.ID]store.Revision, error) {
+	transaction := store.Transaction{Conditions: []store.Condition{t.role.Condition()}}
+	for _, r := range records {
+		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: r.key, Revision: r.expected})
+		transaction.Puts = append(transaction.Puts, store.Put{Key: r.key, Value: r.value})
+	}
+	revision, err := t.config.Store.Commit(ctx, transaction)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return landed(conflict, t.role.Fence, records, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	revisions := map[graph.ID]store.Revision{}
+	for _, r := range records {
+		revisions[r.id] = revision
+	}
+	return revisions, nil
+}
+
+// landed tells whether an earlier try of the same transaction took effect without an answer. Only this leader writes these
+// keys while its own key is unchanged.
+func landed(
+	conflict *store.ConflictError, fence store.Revision, records []record, err error,
+) (map[graph.ID]store.Revision, error) {
+	if conflict.Item(election.Key).Revision != fence {
+		return nil, err
+	}
+	revisions := map[graph.ID]store.Revision{}
+	for _, r := range records {
+		item := conflict.Item(r.key)
+		if !bytes.Equal(item.Value, r.value) {
+			return nil, err
+		}
+		revisions[r.id] = item.Revision
+	}
+	return revisions, nil
+}
+
+func (t *term) flushed(e flushed, now time.Time) {
+	t.flushing = false
+	if !e.stored {
+		t.planner.NotStored(e.changes)
+		return
+	}
+	for id, revision := range e.revisions {
+		t.revisions[id] = revision
+	}
+	for _, change := range e.changes {
+		t.planner.Stored(change, now)
+		if change.Progress.State.Final() {
+			t.config.Metrics.final(change.Progress.State)
+			t.config.Log.Info("job ended", "job", change.Progress.ID, "state", change.Progress.State,
+				"reason", change.Progress.Reason)
+		}
+	}
+}
+
+// releaseAcks lets workers forget the ends whose consequences are stored.
+func (t *term) releaseAcks() {
+	stored := t.covered
+	if t.flushing {
+		stored = 0
+	}
+	if !t.flushing && !t.planner.HasChanges() {
+		stored = t.observed
+	}
+	kept := t.acks[:0]
+	for _, a := range t.acks {
+		if a.observed > stored {
+			kept = append(kept, a)
+			continue
+		}
+		if l, open := t.links[a.worker]; open {
+			l.forget(a.number)
+		}
+	}
+	t.acks = kept
+}
+
+// forget removes jobs that ended long ago from the store.
+func (t *term) forget(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(t.lastForget) < forgetInterval {
+		return
+	}
+	t.lastForget = now
+	const keysOfJob = 3
+	var removes []string
+	for _, id := range t.planner.Forget(now) {
+		delete(t.revisions, id)
+		removes = append(removes, JobKey(id), CancelKey(id), ProgressKey(id))
+	}
+	for len(removes) > 0 {
+		n := min(len(removes), (store.MaxEntries-1)/keysOfJob*keysOfJob)
+		batch := removes[:n]
+		removes = removes[n:]
+		t.spawn(func() { t.remove(ctx, batch) })
+	}
+}
+
+func (t *term) remove(ctx context.Context, keys []string) {
+	_, err := t.config.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{t.role.Condition()}, Removes: keys,
+	})
+	if err != nil {
+		// The next leader finds them again.
+		t.config.Log.Warn("old jobs not removed", "keys", len(keys), "error", err.Error())
+	}
+}
--- /dev/null
+++ b/io/coordinator/link.go
@@ -0,0 +1,177 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/core/planner"
+	"auburnstack/core/roster"
+	"auburnstack/io/runner"
+	"auburnstack/io/wait"
+)
+
+const (
+	// holdWait is how long a worker may hold back its answer until a run ends.
+	holdWait = time.Second
+	// holdTimeout bounds the delivery of a hold and its answer.
+	holdTimeout = 700 * time.Millisecond
+	// holdPause is the pause after a hold without an answer.
+	holdPause = 150 * time.Millisecond
+	// ackPause is the longest time for which the next hold waits until ends are recorded.
+	ackPause = time.Second
+)
+
+// link keeps the leases of one worker and reports what it says.
+type link struct {
+	term   *term
+	info   roster.Worker
+	worker runner.Worker
+	cancel context.CancelFunc
+	done   chan struct{}
+	// acked wakes the link after ends were recorded.
+	acked chan struct{}
+
+	mu sync.Mutex
+	// seen is the number of the last end that was recorded.
+	seen int64
+	// sent is when an order that renews the lease was sent last.
+	sent time.Time
+	// clock is the worker's clock at a time; 0 until it is known.
+	clock   runner.WorkerTime
+	clockAt time.Time
+	// incarnation is the one that clock belongs to.
+	incarnation roster.Incarnation
+}
+
+func newLink(t *term, info roster.Worker) *link {
+	ctx, cancel := context.WithCancel(t.role.Context())
+	l := &link{
+		term: t, info: info, worker: t.config.Dialer.Worker(info), cancel: cancel,
+		done: make(chan struct{}), acked: make(chan struct{}, 1),
+	}
+	go l.run(ctx)
+	return l
+}
+
+// Close ends the link and waits.
+func (l *link) Close() {
+	l.cancel()
+	<-l.done
+}
+
+func (l *link) run(ctx context.Context) {
+	defer close(l.done)
+	for ctx.Err() == nil && l.term.role.Valid() {
+		held, sent, err := l.hold(ctx)
+		switch {
+		case errors.Is(err, runner.ErrFenced):
+			l.term.config.Log.Warn("a worker obeys a newer leader", "worker", l.info.Name)
+			l.term.role.Resign()
+			return
+		case err != nil:
+			if ctx.Err() != nil {
+				return
+			}
+			l.term.post(workerSilent{worker: l.info.Name})
+			wait.For(ctx, holdPause)
+		default:
+			l.report(held, sent)
+			if held.Last > 0 {
+				l.awaitAck(ctx, held.Last)
+			}
+		}
+	}
+}
+
+// hold renews the lease and asks what runs.
+func (l *link) hold(ctx context.Context) (runner.Held, time.Time, error) {
+	hold := runner.Hold{Fence: runner.Fence(l.term.role.Fence)}
+	l.mu.Lock()
+	hold.Seen = l.seen
+	if l.clock != 0 {
+		hold.Wait = holdWait
+	}
+	l.mu.Unlock()
+	sent := time.Now()
+	hold.Until = l.until(sent)
+	call, cancel := context.WithTimeout(ctx, hold.Wait+holdTimeout)
+	defer cancel()
+	held, err := l.worker.Hold(call, hold)
+	if err == nil {
+		l.readClock(held.Clock, held.Incarnation, time.Now())
+	}
+	return held, sent, err
+}
+
+// until returns when a lease that is renewed now ends on the worker's clock, and notes the renewal. It returns 0 until
+// the worker's clock is known.
+func (l *link) until(now time.Time) runner.WorkerTime {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.clock == 0 {
+		return 0
+	}
+	l.sent = now
+	return l.clock + runner.WorkerTime(now.Sub(l.clockAt)+l.term.config.Settings.LeaseLimit)
+}
+
+func (l *link) readClock(clock runner.WorkerTime, incarnation roster.Incarnation, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation != l.incarnation {
+		// A new incarnation numbers its ends anew.
+		l.seen = 0
+		l.incarnation = incarnation
+	}
+	l.clock, l.clockAt = clock, now
+}
+
+func (l *link) lastSent() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
+func (l *link) report(held runner.Held, sent time.Time) {
+	l.term.post(workerHeld{
+		observation: planner.Observation{
+			Worker: l.info.Name, Incarnation: held.Incarnation, Sent: sent, Runs: held.Runs, Ended: held.Ended,
+		},
+		last: held.Last,
+	})
+}
+
+// forget lets the worker forget the ends up to a number.
+func (l *link) forget(number int64) {
+	l.mu.Lock()
+	l.seen = max(l.seen, number)
+	l.mu.Unlock()
+	select {
+	case l.acked <- struct{}{}:
+	default:
+	}
+}
+
+// awaitAck waits until the ends up to a number are recorded, as the worker would list them again at once.
+func (l *link) awaitAck(ctx context.Context, number int64) {
+	timer := time.NewTimer(ackPause)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		recorded := l.seen >= number
+		l.mu.Unlock()
+		if recorded {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-l.acked:
+		}
+	}
+}
--- /dev/null
+++ b/io/coordinator/orders.go
@@ -0,0 +1,169 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/planner"
+	"auburnstack/io/runner"
+)
+
+const (
+	// orderTimeout bounds one order to a worker.
+	orderTimeout = 600 * time.Millisecond
+	// orderRetry is the time between two tries of an order.
+	orderRetry = 200 * time.Millisecond
+)
+
+// orderKey identifies an order.
+type orderKey struct {
+	worker endpoint.Name
+	task   graph.TaskID
+	run    graph.Run
+	stop   bool
+}
+
+// order is one that has not been answered yet.
+type order struct {
+	action   planner.Action
+	inFlight bool
+	// next is when it is sent again.
+	next time.Time
+}
+
+// orders sends starts and stops to workers until they are answered. Only the control goroutine uses it.
+type orders struct {
+	ctx  context.Context
+	term *term
+	open map[orderKey]*order
+}
+
+func newOrders(ctx context.Context, t *term) *orders {
+	return &orders{ctx: ctx, term: t, open: map[orderKey]*order{}}
+}
+
+func keyOf(action planner.Action) orderKey {
+	switch a := action.(type) {
+	case planner.Start:
+		return orderKey{worker: a.Worker, task: a.Task, run: a.Run}
+	case planner.Stop:
+		return orderKey{worker: a.Worker, task: a.Task, run: a.Run, stop: true}
+	default:
+		return orderKey{}
+	}
+}
+
+// give sends an order unless it is under way already.
+func (o *orders) give(action planner.Action) {
+	key := keyOf(action)
+	if _, open := o.open[key]; open {
+		return
+	}
+	o.log(action)
+	entry := &order{action: action}
+	o.open[key] = entry
+	o.send(key, entry)
+}
+
+func (o *orders) log(action planner.Action) {
+	switch a := action.(type) {
+	case planner.Start:
+		o.term.config.Metrics.started()
+		o.term.config.Log.Info("starting", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
+			"worker", a.Worker, "resumes", a.Checkpoint != "")
+	case planner.Stop:
+		o.term.config.Metrics.stopped(a.Reason)
+		o.term.config.Log.Info("stopping", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
+			"worker", a.Worker, "reason", a.Reason)
+	}
+}
+
+// retry sends the orders again that were not answered and still make sense.
+func (o *orders) retry(now time.Time) {
+	for key, entry := range o.open {
+		if entry.inFlight || now.Before(entry.next) {
+			continue
+		}
+		if !o.term.planner.Wanted(entry.action) {
+			delete(o.open, key)
+			continue
+		}
+		o.send(key, entry)
+	}
+}
+
+func (o *orders) send(key orderKey, entry *order) {
+	l, linked := o.term.links[key.worker]
+	if !linked || !o.term.role.Valid() {
+		entry.next = time.Now().Add(orderRetry)
+		return
+	}
+	entry.inFlight = true
+	o.term.spawn(func() {
+		switch a := entry.action.(type) {
+		case planner.Start:
+			o.start(l, a)
+		case planner.Stop:
+			o.stop(l, a)
+		}
+	})
+}
+
+func (o *orders) start(l *link, a planner.Start) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	_, err := l.worker.Start(ctx, runner.Start{
+		Task: a.Task, Run: a.Run, Fence: runner.Fence(o.term.role.Fence), Spec: a.Spec,
+		Until: l.until(time.Now()), Checkpoint: a.Checkpoint,
+	})
+	answer := startAnswered{start: a, outcome: planner.Accepted}
+	if err != nil {
+		answer.reason = err.Error()
+		answer.outcome = planner.Unanswered
+		if errors.Is(err, runner.ErrRejected) || errors.Is(err, runner.ErrNoRoom) || errors.Is(err, runner.ErrUnhealthy) {
+			answer.outcome = planner.Rejected
+		}
+		o.term.config.Metrics.orderFailed(err)
+		o.term.config.Log.Warn("start not confirmed", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
+			"worker", a.Worker, "error", err.Error())
+	}
+	o.term.post(answer)
+}
+
+func (o *orders) stop(l *link, a planner.Stop) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	err := l.worker.Stop(ctx, runner.Stop{Task: a.Task, Run: a.Run, Fence: runner.Fence(o.term.role.Fence)})
+	accepted := err == nil || errors.Is(err, runner.ErrRejected)
+	if err != nil {
+		o.term.config.Metrics.orderFailed(err)
+		o.term.config.Log.Warn("stop not confirmed", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
+			"worker", a.Worker, "error", err.Error())
+	}
+	o.term.post(stopAnswered{stop: a, accepted: accepted})
+}
+
+func (o *orders) startAnswered(e startAnswered) {
+	o.answered(keyOf(e.start), e.outcome != planner.Unanswered)
+}
+
+func (o *orders) stopAnswered(e stopAnswered) {
+	o.answered(keyOf(e.stop), e.accepted)
+}
+
+func (o *orders) answered(key orderKey, settled bool) {
+	entry, open := o.open[key]
+	if !open {
+		return
+	}
+	if settled {
+		delete(o.open, key)
+		return
+	}
+	entry.inFlight = false
+	entry.next = time.Now().Add(orderRetry)
+}
--- /dev/null
+++ b/io/coordinator/term.go
@@ -0,0 +1,301 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/planner"
+	"auburnstack/core/policy"
+	"auburnstack/core/roster"
+	"auburnstack/io/election"
+	"auburnstack/io/rosterwatch"
+	"auburnstack/io/store"
+	"auburnstack/io/wait"
+)
+
+const (
+	// tick is the time between two looks at what only time changes.
+	tick = 100 * time.Millisecond
+	// retryPause is the pause after a call to the store that failed.
+	retryPause = 100 * time.Millisecond
+	// eventBuffer is the number of events that may wait for the control goroutine.
+	eventBuffer = 1024
+	// forgetInterval is the time between two removals of old jobs.
+	forgetInterval = 5 * time.Second
+)
+
+// term is the control state of one term of leadership. Only the control goroutine uses the fields without a note.
+type term struct {
+	config Config
+	role   *election.Role
+	// events may be sent to by any goroutine.
+	events chan event
+	// pending is read by any goroutine; nil until everything was read.
+	pending atomic.Pointer[map[string]int]
+	planner *planner.Planner
+	links   map[endpoint.Name]*link
+	orders  *orders
+	// revisions holds the revision of each stored progress; 0 when there is none.
+	revisions map[graph.ID]store.Revision
+	flushing  bool
+	// observed counts the observations; covered is the count that the changes in flight or stored contain.
+	observed, covered uint64
+	acks              []ack
+	lastForget        time.Time
+	// work counts the goroutines of the term.
+	work sync.WaitGroup
+}
+
+// ack is the number of a worker's last end that may be forgotten once all changes up to an observation are stored.
+type ack struct {
+	worker   endpoint.Name
+	number   int64
+	observed uint64
+}
+
+func newTerm(config Config, role *election.Role) *term {
+	return &term{
+		config: config, role: role, events: make(chan event, eventBuffer),
+		links: map[endpoint.Name]*link{}, revisions: map[graph.ID]store.Revision{},
+	}
+}
+
+// post hands an event to the control goroutine, unless the term has ended.
+func (t *term) post(e event) {
+	select {
+	case t.events <- e:
+	case <-t.role.Done():
+	}
+}
+
+// spawn runs work that the term waits for.
+func (t *term) spawn(work func()) {
+	t.work.Add(1)
+	go func() {
+		defer t.work.Done()
+		work()
+	}()
+}
+
+// run leads until the context ends.
+func (t *term) run(ctx context.Context) {
+	defer t.work.Wait()
+	begun := time.Now()
+	at, ok := t.load(ctx)
+	if !ok {
+		return
+	}
+	t.config.Log.Info("took over", "jobs", len(t.revisions), "took", time.Since(begun).String(), "fence", t.role.Fence)
+	t.orders = newOrders(ctx, t)
+	workers := rosterwatch.New(t.config.Store, t.config.Roster, t.config.Log, func(list []roster.Worker) {
+		t.post(workersChanged{workers: list})
+	})
+	defer workers.Close()
+	t.spawn(func() { t.followInbox(ctx, at) })
+	defer t.closeLinks()
+	t.control(ctx)
+}
+
+// load reads everything that was accepted and recorded, and returns the revision from which the inbox is followed.
+func (t *term) load(ctx context.Context) (store.Revision, bool) {
+	for ctx.Err() == nil {
+		at, err := t.read(ctx)
+		if err == nil {
+			return at, true
+		}
+		t.config.Log.Warn("records not read", "error", err.Error())
+		wait.For(ctx, retryPause)
+	}
+	return 0, false
+}
+
+func (t *term) read(ctx context.Context) (store.Revision, error) {
+	inbox, err := t.config.Store.Range(ctx, InboxPrefix)
+	if err != nil {
+		return 0, err
+	}
+	records, err := t.config.Store.Range(ctx, progressPrefix)
+	if err != nil {
+		return 0, err
+	}
+	accepted, err := decodeInbox(inbox.Items)
+	if err != nil {
+		return 0, err
+	}
+	progress := map[graph.ID]graph.Progress{}
+	t.revisions = map[graph.ID]store.Revision{}
+	for _, item := range records.Items {
+		record, err := DecodeProgress(item)
+		if err != nil {
+			return 0, err
+		}
+		progress[record.ID] = record
+		t.revisions[record.ID] = item.Revision
+	}
+	t.restore(accepted, progress)
+	return inbox.At, nil
+}
+
+func (t *term) restore(accepted jobsAccepted, progress map[graph.ID]graph.Progress) {
+	now := time.Now()
+	t.planner = planner.New(t.config.Settings, t.policy())
+	for _, job := range accepted.jobs {
+		if record, begun := progress[job.ID]; begun {
+			t.planner.Restore(job, record, now)
+		} else {
+			t.planner.Submit(job, now)
+		}
+	}
+	for _, id := range accepted.canceled {
+		t.planner.Cancel(id, now)
+	}
+}
+
+func (t *term) policy() *policy.Policy {
+	if p := t.config.Policy().Policy; p != nil {
+		return p
+	}
+	return &policy.Policy{}
+}
+
+// control handles events until the context ends.
+func (t *term) control(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	t.step()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-t.events:
+			t.handle(e)
+			t.drain()
+		case <-ticker.C:
+			t.planner.Tick()
+			t.forget(ctx)
+		}
+		t.step()
+	}
+}
+
+// drain handles the events that wait already.
+func (t *term) drain() {
+	for {
+		select {
+		case e := <-t.events:
+			t.handle(e)
+		default:
+			return
+		}
+	}
+}
+
+func (t *term) handle(e event) {
+	now := time.Now()
+	switch e := e.(type) {
+	case workersChanged:
+		t.planner.SetWorkers(e.workers, now)
+		t.connect()
+	case jobsAccepted:
+		t.accept(e, now)
+	case workerHeld:
+		t.observe(e, now)
+	case workerSilent:
+		t.planner.Answered(e.worker, false)
+	case startAnswered:
+		t.planner.StartAnswered(e.start, e.outcome, now)
+		t.orders.startAnswered(e)
+	case stopAnswered:
+		if e.accepted {
+			t.planner.StopAnswered(e.stop, now)
+		}
+		t.orders.stopAnswered(e)
+	case flushed:
+		t.flushed(e, now)
+	case policyChanged:
+		t.planner.SetPolicy(t.policy())
+	case question:
+		state, known := t.planner.State(e.id)
+		e.reply <- Job{State: state, Known: known}
+	}
+}
+
+func (t *term) accept(e jobsAccepted, now time.Time) {
+	for _, job := range e.jobs {
+		if !t.planner.Has(job.ID) {
+			t.config.Log.Info("job queued", "job", job.ID, "queue", job.Queue, "steps", len(job.Steps),
+				"age", now.Sub(job.Accepted).String())
+		}
+		t.planner.Submit(job, now)
+	}
+	for _, id := range e.canceled {
+		if t.planner.Cancel(id, now) {
+			t.config.Log.Info("job canceled", "job", id)
+		}
+	}
+}
+
+func (t *term) observe(e workerHeld, now time.Time) {
+	t.observed++
+	t.planner.Answered(e.observation.Worker, true)
+	t.planner.Observe(e.observation, now)
+	for i := range e.observation.Ended {
+		end := &e.observation.Ended[i]
+		t.config.Metrics.ended(end.Kind)
+		t.config.Log.Info("run ended", "job", end.Task.Job, "task", end.Task.String(), "run", end.Run,
+			"how", end.Kind.String(), "worker", e.observation.Worker)
+	}
+	if e.last > 0 {
+		t.acks = append(t.acks, ack{worker: e.observation.Worker, number: e.last, observed: t.observed})
+	}
+}
+
+// step lets the planner decide and carries out what it decided.
+func (t *term) step() {
+	now := time.Now()
+	for name, l := range t.links {
+		if sent := l.lastSent(); !sent.IsZero() {
+			t.planner.Renewed(name, sent)
+		}
+	}
+	for _, action := range t.planner.Plan(now) {
+		t.orders.give(action)
+	}
+	t.orders.retry(now)
+	t.flush()
+	t.releaseAcks()
+	pending := t.planner.Pending()
+	t.pending.Store(&pending)
+}
+
+// connect opens links to new workers and closes those to workers that are gone.
+func (t *term) connect() {
+	present := map[endpoint.Name]bool{}
+	t.planner.Workers(func(w roster.Worker) {
+		present[w.Name] = true
+		l, open := t.links[w.Name]
+		if open && l.info.Address != w.Address {
+			l.Close()
+			open = false
+		}
+		if !open && w.Address.IsValid() {
+			t.links[w.Name] = newLink(t, w)
+		}
+	})
+	for name, l := range t.links {
+		if !present[name] {
+			l.Close()
+			delete(t.links, name)
+		}
+	}
+}
+
+func (t *term) closeLinks() {
+	for _, l := range t.links {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/io/intake/intake.go
@@ -0,0 +1,201 @@
+// Package intake answers callers: it accepts and cancels jobs and tells their states. Any VM does so, whether it leads or
+// not; a VM that the store does not answer passes requests on to one that it does.
+package intake
+
+import (
+	"context"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"auburnstack/core/account"
+	"auburnstack/core/answer"
+	"auburnstack/core/graph"
+	"auburnstack/core/policy"
+	"auburnstack/io/policywatch"
+	"auburnstack/io/relay"
+	"auburnstack/io/store"
+)
+
+const (
+	// freshFor is the age of the last proof up to which a configuration decides that a caller is refused for good.
+	freshFor = 1500 * time.Millisecond
+	// storeSilence is the time without an answer of the store after which requests are passed on to other VMs first.
+	storeSilence = 1300 * time.Millisecond
+	// retryAfter is when a caller should come back after a refusal that is not its own fault.
+	retryAfter = time.Second
+	// storePause is the pause between two tries of a call to the store.
+	storePause = 60 * time.Millisecond
+	// relayTimeout bounds a request that is passed on.
+	relayTimeout = 1200 * time.Millisecond
+	// answerReserve is kept of the caller's deadline for the way back.
+	answerReserve = 250 * time.Millisecond
+)
+
+// Codec reads submissions.
+type Codec interface {
+	// DecodeJob reads the body of a submission. The ID and the queue are not part of it.
+	DecodeJob(body []byte) (*graph.Job, error)
+}
+
+// Site is what the intake needs to know of the other VMs.
+type Site interface {
+	// JobState asks the leader for the state of a job; the second result is false when no leader answers.
+	JobState(ctx context.Context, id graph.ID) (relay.JobState, bool)
+	// Pending counts the jobs of each queue of which no task has started, and tells how old the counts are.
+	Pending() (map[string]int, time.Duration, bool)
+	// Peers lists the VMs to pass requests on to, the best first.
+	Peers() []relay.Peer
+}
+
+// Intake answers callers.
+type Intake struct {
+	store   store.Store
+	codec   Codec
+	watcher *policywatch.Watcher
+	site    Site
+	metrics *Metrics
+	log     hclog.Logger
+}
+
+// New returns an intake.
+func New(
+	s store.Store, codec Codec, watcher *policywatch.Watcher, site Site, metrics *Metrics, log hclog.Logger,
+) *Intake {
+	return &Intake{store: s, codec: codec, watcher: watcher, site: site, metrics: metrics, log: log}
+}
+
+// call is a request on its way.
+type call struct {
+	relay.Request
+	// relayed is set when another VM has passed the request on.
+	relayed  bool
+	snapshot *policywatch.Snapshot
+	queue    policy.Queue
+	account  account.Name
+	id       graph.ID
+}
+
+// jobID is the form of a job's ID.
+var jobID = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
+
+// Handle answers a request by the context's deadline.
+func (i *Intake) Handle(ctx context.Context, request relay.Request, relayed bool) answer.Answer {
+	begun := time.Now()
+	c := &call{Request: request, relayed: relayed}
+	a := i.handle(ctx, c)
+	took := time.Since(begun)
+	i.metrics.answered(request.Method, a.Kind, took)
+	i.logAnswer(c, a, took)
+	return a
+}
+
+func (i *Intake) logAnswer(c *call, a answer.Answer, took time.Duration) {
+	if a.Kind == answer.State || a.Kind == answer.Pending {
+		return
+	}
+	log := i.log.Info
+	if a.Kind != answer.Done {
+		log = i.log.Warn
+	}
+	log("answered", "method", c.Method, "job", c.id, "queue", c.queue.Name, "answer", a.Kind.String(), "reason", a.Reason,
+		"took", took.String(), "relayed", c.relayed, "policy", c.snapshot.Revision,
+		"policyAge", time.Since(c.snapshot.Proven).String())
+}
+
+func (i *Intake) handle(ctx context.Context, c *call) answer.Answer {
+	c.snapshot = i.watcher.Current()
+	if c.snapshot.Policy == nil {
+		return i.passOn(ctx, c, answer.Answer{
+			Kind: answer.Refused, RetryAfter: retryAfter, Reason: "no configuration is known yet",
+		})
+	}
+	if refusal, refused := i.route(c); refused {
+		if i.fresh(c.snapshot) {
+			return refusal
+		}
+		return i.passOn(ctx, c, answer.Answer{
+			Kind: answer.Refused, RetryAfter: retryAfter, Reason: "the configuration may be outdated: " + refusal.Reason,
+		})
+	}
+	if !c.relayed && !i.fresh(c.snapshot) && time.Since(i.watcher.Answered()) > storeSilence {
+		if a, answered := i.relay(ctx, c); answered {
+			return a
+		}
+	}
+	switch c.Method {
+	case "POST":
+		return i.submit(ctx, c)
+	case "DELETE":
+		return i.cancel(ctx, c)
+	default:
+		return i.show(ctx, c)
+	}
+}
+
+// route finds the queue, the account and the job that a request is about, or the reason to refuse it for good.
+func (i *Intake) route(c *call) (answer.Answer, bool) {
+	queue, found := c.snapshot.Policy.Route(c.Host, c.Path)
+	if !found {
+		return answer.Answer{Kind: answer.NoQueue, Reason: "no queue has this path"}, true
+	}
+	c.queue = queue
+	if name, known := c.snapshot.Policy.Authenticate(c.Key); known {
+		c.account = name
+	} else if !queue.Anonymous {
+		return answer.Answer{Kind: answer.NoKey, Reason: "the key belongs to no account"}, true
+	}
+	rest := strings.TrimPrefix(c.Path, queue.Prefix)
+	switch {
+	case jobID.MatchString(rest):
+		c.id = graph.ID(strings.ToLower(rest))
+		return answer.Answer{}, false
+	case rest == "" && c.Method == "GET":
+		return answer.Answer{}, false
+	default:
+		return answer.Answer{Kind: answer.Invalid, Reason: "the path does not end with a job's ID"}, true
+	}
+}
+
+func (i *Intake) fresh(snapshot *policywatch.Snapshot) bool {
+	return time.Since(snapshot.Proven) < freshFor
+}
+
+// passOn lets another VM answer, or returns the given answer when none does.
+func (i *Intake) passOn(ctx context.Context, c *call, otherwise answer.Answer) answer.Answer {
+	if c.relayed {
+		return otherwise
+	}
+	if a, answered := i.relay(ctx, c); answered {
+		return a
+	}
+	return otherwise
+}
+
+// relay asks other VMs in turn until one has an answer. After one that may have acted without answering, only a sure
+// result counts.
+func (i *Intake) relay(ctx context.Context, c *call) (answer.Answer, bool) {
+	uncertain := false
+	for _, peer := range i.site.Peers() {
+		if ctx.Err() != nil {
+			break
+		}
+		try, cancel := context.WithTimeout(ctx, relayTimeout)
+		a, err := peer.Handle(try, c.Request)
+		cancel()
+		if err != nil {
+			uncertain = true
+			continue
+		}
+		if a.Kind == answer.Refused {
+			continue
+		}
+		return a, true
+	}
+	if uncertain && c.Method == "POST" {
+		return answer.Answer{Kind: answer.Unknown, Reason: "a VM that took over the request has not answered"}, true
+	}
+	return answer.Answer{}, false
+}
--- /dev/null
+++ b/io/intake/metrics.go
@@ -0,0 +1,26 @@
+package intake
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"auburnstack/core/answer"
+)
+
+// Metrics counts answers to callers.
+type Metrics struct {
+	set *metrics.Set
+}
+
+// NewMetrics returns counters in a set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{set: set}
+}
+
+func (m *Metrics) answered(method string, kind answer.Kind, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`auburnstack_answers_total{method=%q,answer=%q}`, method, kind.String())).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`auburnstack_answer_duration_seconds{method=%q}`, method)).
+		Update(took.Seconds())
+}
--- /dev/null
+++ b/io/intake/show.go
@@ -0,0 +1,69 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/core/answer"
+	"auburnstack/core/graph"
+	"auburnstack/io/coordinator"
+	"auburnstack/io/store"
+)
+
+// countsFor is the age up to which the counts of waiting jobs are shown.
+const countsFor = 4 * time.Second
+
+// show tells the state of a job, or how many jobs of a queue wait.
+func (i *Intake) show(ctx context.Context, c *call) answer.Answer {
+	if c.id == "" {
+		return i.showPending(ctx, c)
+	}
+	if job, answered := i.site.JobState(ctx, c.id); answered && job.Known {
+		return answer.Answer{Kind: answer.State, State: job.State}
+	}
+	// The leader does not answer, or has not read yet what was just accepted.
+	state, err := i.stored(ctx, c.id)
+	if errors.Is(err, store.ErrNotFound) {
+		return answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
+	}
+	if err != nil {
+		return i.passOn(ctx, c, unavailable(err))
+	}
+	return answer.Answer{Kind: answer.State, State: state}
+}
+
+func (i *Intake) showPending(ctx context.Context, c *call) answer.Answer {
+	counts, age, known := i.site.Pending()
+	if !known || age > countsFor {
+		return i.passOn(ctx, c, answer.Answer{
+			Kind: answer.Refused, RetryAfter: retryAfter, Reason: "no leader has counted the jobs lately",
+		})
+	}
+	return answer.Answer{Kind: answer.Pending, Pending: counts[c.queue.Name]}
+}
+
+// stored reads the state of a job from the store.
+func (i *Intake) stored(ctx context.Context, id graph.ID) (graph.State, error) {
+	item, err := i.get(ctx, coordinator.ProgressKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		_, err = i.get(ctx, coordinator.JobKey(id))
+		return graph.Queued, err
+	}
+	if err != nil {
+		return "", err
+	}
+	progress, err := coordinator.DecodeProgress(item)
+	if err != nil {
+		return "", err
+	}
+	if !progress.State.Final() && len(progress.Units) > 0 {
+		return graph.Running, nil
+	}
+	return progress.State, nil
+}
+
+func (i *Intake) get(ctx context.Context, key string) (store.Item, error) {
+	return i.store.Get(ctx, key)
+}
--- /dev/null
+++ b/io/intake/submit.go
@@ -0,0 +1,146 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/core/answer"
+	"auburnstack/core/graph"
+	"auburnstack/io/coordinator"
+	"auburnstack/io/store"
+	"auburnstack/io/wait"
+)
+
+// submit stores a job. The transaction requires that the configuration by which it was judged is the newest.
+func (i *Intake) submit(ctx context.Context, c *call) answer.Answer {
+	job, err := i.codec.DecodeJob(c.Body)
+	if err != nil {
+		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
+	}
+	job.ID, job.ClientAccount, job.Queue, job.Accepted = c.id, c.account, c.queue.Name, time.Now()
+	if err := job.Validate(); err != nil {
+		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
+	}
+	value, err := json.Marshal(job)
+	if err != nil {
+		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
+	}
+	key := coordinator.JobKey(job.ID)
+	return i.commit(ctx, c, store.Transaction{
+		Conditions: []store.Condition{{Key: i.watcher.Key(), Revision: c.snapshot.Revision}, {Key: key}},
+		Puts:       []store.Put{{Key: key, Value: value}},
+	}, func(conflict *store.ConflictError) (answer.Answer, bool) {
+		return i.repeated(job, conflict.Item(key))
+	})
+}
+
+// repeated answers a submission whose ID is taken.
+func (i *Intake) repeated(job *graph.Job, item store.Item) (answer.Answer, bool) {
+	if item.Revision == 0 {
+		return answer.Answer{}, false
+	}
+	known, err := coordinator.DecodeJob(item)
+	if err != nil {
+		return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}, true
+	}
+	if !known.SameSubmission(job) {
+		return answer.Answer{Kind: answer.Invalid, Reason: "another job has this ID"}, true
+	}
+	return answer.Answer{Kind: answer.Done, Reason: "the job was accepted before"}, true
+}
+
+// cancel stores a cancellation.
+func (i *Intake) cancel(ctx context.Context, c *call) answer.Answer {
+	item, err := i.get(ctx, coordinator.JobKey(c.id))
+	if errors.Is(err, store.ErrNotFound) {
+		return answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
+	}
+	if err != nil {
+		return i.passOn(ctx, c, unavailable(err))
+	}
+	job, err := coordinator.DecodeJob(item)
+	if err != nil {
+		return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
+	}
+	if job.ClientAccount != c.account && !c.queue.Anonymous {
+		return answer.Answer{Kind: answer.Forbidden, Reason: "the job belongs to another account"}
+	}
+	key := coordinator.CancelKey(c.id)
+	return i.commit(ctx, c, store.Transaction{
+		Conditions: []store.Condition{
+			{Key: i.watcher.Key(), Revision: c.snapshot.Revision}, {Key: item.Key, Revision: item.Revision}, {Key: key},
+		},
+		Puts: []store.Put{{Key: key, Value: []byte(c.account)}},
+	}, func(conflict *store.ConflictError) (answer.Answer, bool) {
+		switch {
+		case conflict.Item(key).Revision != 0:
+			return answer.Answer{Kind: answer.Done, Reason: "the job was canceled before"}, true
+		case conflict.Item(item.Key).Revision == 0:
+			return answer.Answer{Kind: answer.NoJob, Reason: "the job was removed"}, true
+		default:
+			return answer.Answer{}, false
+		}
+	})
+}
+
+// commit repeats a transaction until its outcome is known or the caller's time is over. settle answers a conflict that is
+// not about the configuration.
+func (i *Intake) commit(
+	ctx context.Context, c *call, t store.Transaction, settle func(*store.ConflictError) (answer.Answer, bool),
+) answer.Answer {
+	uncertain := false
+	for {
+		_, err := i.store.Commit(ctx, t)
+		if err == nil {
+			return answer.Answer{Kind: answer.Done}
+		}
+		var conflict *store.ConflictError
+		switch {
+		case errors.As(err, &conflict):
+			if a, settled := settle(conflict); settled {
+				return a
+			}
+			return i.outdated(ctx, c, conflict)
+		case errors.Is(err, store.ErrRefused) && !uncertain:
+			if a, answered := i.relayOnce(ctx, c); answered {
+				return a
+			}
+			return unavailable(err)
+		case !errors.Is(err, store.ErrRefused):
+			uncertain = true
+		}
+		if ctx.Err() != nil {
+			return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
+		}
+		if a, answered := i.relayOnce(ctx, c); answered && a.Kind != answer.Unknown {
+			return a
+		}
+		wait.For(ctx, storePause)
+	}
+}
+
+// outdated handles a request again with the configuration that a conflict has shown.
+func (i *Intake) outdated(ctx context.Context, c *call, conflict *store.ConflictError) answer.Answer {
+	i.watcher.Learn(conflict.Item(i.watcher.Key()))
+	if i.watcher.Current().Revision == c.snapshot.Revision {
+		return answer.Answer{Kind: answer.Refused, RetryAfter: retryAfter, Reason: "the configuration has changed"}
+	}
+	if ctx.Err() != nil {
+		return answer.Answer{Kind: answer.Refused, RetryAfter: retryAfter, Reason: "the configuration has changed"}
+	}
+	return i.handle(ctx, c)
+}
+
+func (i *Intake) relayOnce(ctx context.Context, c *call) (answer.Answer, bool) {
+	if c.relayed || ctx.Err() != nil {
+		return answer.Answer{}, false
+	}
+	return i.relay(ctx, c)
+}
+
+func unavailable(err error) answer.Answer {
+	return answer.Answer{Kind: answer.Refused, RetryAfter: retryAfter, Reason: err.Error()}
+}
--- /dev/null
+++ b/io/policywatch/watcher.go
@@ -0,0 +1,237 @@
+// Package policywatch follows the operators' configuration in the store, and through other VMs when the store does not
+// answer. A configuration that was adopted is never replaced by an older one.
+package policywatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"auburnstack/core/policy"
+	"auburnstack/io/store"
+	"auburnstack/io/wait"
+)
+
+const (
+	// watchWait is how long one watch waits; each answer proves that the configuration is current.
+	watchWait = time.Second
+	// retryPause is the pause after a call that failed.
+	retryPause = 150 * time.Millisecond
+)
+
+// Codec reads the configuration.
+type Codec interface {
+	// Prefix is that of all keys that the operators write.
+	Prefix() string
+	// Key is that of the configuration itself.
+	Key() string
+	// Decode reads the configuration from all items under the prefix.
+	Decode(items map[string]store.Item) (*policy.Policy, error)
+}
+
+// Snapshot is a configuration with its place in the store's history.
+type Snapshot struct {
+	// Policy is nil until a configuration is known.
+	Policy *policy.Policy
+	// Revision is that of the key that holds the configuration.
+	Revision store.Revision
+	// ChangedAt is the revision of the last change of any key of the operators.
+	ChangedAt store.Revision
+	// Proven is when the snapshot was last known to be the newest.
+	Proven time.Time
+}
+
+// Newer tells whether s replaces other.
+func (s *Snapshot) Newer(other *Snapshot) bool {
+	if s.Revision != other.Revision {
+		return s.Revision > other.Revision
+	}
+	return s.ChangedAt > other.ChangedAt
+}
+
+// Watcher follows the configuration.
+type Watcher struct {
+	store store.Store
+	codec Codec
+	log   hclog.Logger
+	// adopted is called after a configuration was adopted; fromStore tells where it came from.
+	adopted func(snapshot *Snapshot, fromStore bool)
+	current atomic.Pointer[Snapshot]
+	// answered is when the store answered last.
+	answered atomic.Pointer[time.Time]
+
+	// mu orders adoptions.
+	mu sync.Mutex
+	// items mirrors the operators' keys. Only the watching goroutine uses it.
+	items  map[string]store.Item
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New starts to follow the configuration.
+func New(s store.Store, codec Codec, log hclog.Logger, adopted func(snapshot *Snapshot, fromStore bool)) *Watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{store: s, codec: codec, log: log, adopted: adopted, cancel: cancel, done: make(chan struct{})}
+	w.current.Store(&Snapshot{})
+	w.noteAnswer()
+	go w.run(ctx)
+	return w
+}
+
+// Close stops following and waits.
+func (w *Watcher) Close() {
+	w.cancel()
+	<-w.done
+}
+
+// Key is that of the configuration.
+func (w *Watcher) Key() string {
+	return w.codec.Key()
+}
+
+// Answered returns when the store answered last.
+func (w *Watcher) Answered() time.Time {
+	return *w.answered.Load()
+}
+
+// Current returns the newest snapshot that is known.
+func (w *Watcher) Current() *Snapshot {
+	return w.current.Load()
+}
+
+func (w *Watcher) noteAnswer() {
+	now := time.Now()
+	w.answered.Store(&now)
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	defer close(w.done)
+	for ctx.Err() == nil {
+		if err := w.follow(ctx); err != nil && ctx.Err() == nil {
+			w.log.Debug("configuration not followed", "error", err.Error())
+			wait.For(ctx, retryPause)
+		}
+	}
+}
+
+// follow reads everything once and then watches until a call fails.
+func (w *Watcher) follow(ctx context.Context) error {
+	page, err := w.store.Range(ctx, w.codec.Prefix())
+	if err != nil {
+		return err
+	}
+	w.noteAnswer()
+	w.items = map[string]store.Item{}
+	for _, item := range page.Items {
+		w.items[item.Key] = item
+	}
+	w.publish(page.At)
+	at := page.At
+	for {
+		changes, err := w.store.Watch(ctx, w.codec.Prefix(), at, watchWait)
+		if errors.Is(err, store.ErrCompacted) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		at = changes.At
+		w.noteAnswer()
+		if len(changes.Events) == 0 {
+			w.prove()
+			continue
+		}
+		for _, event := range changes.Events {
+			if event.Deleted {
+				delete(w.items, event.Key)
+			} else {
+				w.items[event.Key] = event.Item
+			}
+		}
+		w.publish(at)
+	}
+}
+
+// publish adopts what the mirrored items say as of a revision.
+func (w *Watcher) publish(at store.Revision) {
+	item, found := w.items[w.codec.Key()]
+	if !found {
+		return
+	}
+	decoded, err := w.codec.Decode(w.items)
+	if err != nil {
+		w.log.Error("configuration not adopted", "revision", item.Revision, "error", err.Error())
+		return
+	}
+	w.adopt(&Snapshot{Policy: decoded, Revision: item.Revision, ChangedAt: at, Proven: time.Now()}, true)
+}
+
+// Learn adopts a configuration that a call outside the watch has shown. What the other keys say is kept.
+func (w *Watcher) Learn(item store.Item) {
+	current := w.current.Load()
+	if item.Key != w.codec.Key() || item.Revision <= current.Revision {
+		return
+	}
+	decoded, err := w.codec.Decode(map[string]store.Item{item.Key: item})
+	if err != nil {
+		w.log.Error("configuration not adopted", "revision", item.Revision, "error", err.Error())
+		return
+	}
+	if current.Policy != nil {
+		decoded.Out = current.Policy.Out
+	}
+	w.adopt(&Snapshot{
+		Policy: decoded, Revision: item.Revision, ChangedAt: current.ChangedAt, Proven: time.Now(),
+	}, true)
+}
+
+// Offer adopts a snapshot of another VM if it is newer.
+func (w *Watcher) Offer(snapshot *Snapshot) {
+	w.adopt(snapshot, false)
+}
+
+func (w *Watcher) adopt(next *Snapshot, fromStore bool) {
+	w.mu.Lock()
+	current := w.current.Load()
+	newer := next.Policy != nil && next.Newer(current)
+	if newer {
+		w.current.Store(next)
+	}
+	w.mu.Unlock()
+	if !newer {
+		w.ProveSame(next)
+		return
+	}
+	w.adopted(next, fromStore)
+}
+
+// ProveSame notes that a snapshot was the newest at a time, if it is the one in force.
+func (w *Watcher) ProveSame(other *Snapshot) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	current := w.current.Load()
+	if other.Newer(current) || current.Newer(other) || !other.Proven.After(current.Proven) {
+		return
+	}
+	proven := *current
+	proven.Proven = other.Proven
+	w.current.Store(&proven)
+}
+
+// prove notes that the mirrored items are the newest now.
+func (w *Watcher) prove() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	current := w.current.Load()
+	item, found := w.items[w.codec.Key()]
+	if !found || item.Revision != current.Revision {
+		return
+	}
+	proven := *current
+	proven.Proven = time.Now()
+	w.current.Store(&proven)
+}
--- /dev/null
+++ b/io/relay/client.go
@@ -0,0 +1,177 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"auburnstack/core/answer"
+	"auburnstack/core/graph"
+	"auburnstack/io/relay/relaypb"
+	"auburnstack/io/tcp"
+)
+
+const (
+	// maxMessage bounds one message between VMs in bytes.
+	maxMessage = 8 << 20
+	// reconnectDelay and maxReconnectDelay bound the pause between two tries to connect.
+	reconnectDelay    = 100 * time.Millisecond
+	maxReconnectDelay = 500 * time.Millisecond
+)
+
+// Pool holds one connection to each VM that was called. It is a Dialer.
+type Pool struct {
+	mu          sync.Mutex
+	connections map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewPool returns a pool without connections.
+func NewPool() *Pool {
+	return &Pool{connections: map[netip.AddrPort]*grpc.ClientConn{}}
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, connection := range p.connections {
+		_ = connection.Close()
+		delete(p.connections, address)
+	}
+}
+
+// Keep ends the connections to VMs that are not among the members.
+func (p *Pool) Keep(members []Member) {
+	wanted := map[netip.AddrPort]bool{}
+	for _, m := range members {
+		wanted[m.Address] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, connection := range p.connections {
+		if !wanted[address] {
+			_ = connection.Close()
+			delete(p.connections, address)
+		}
+	}
+}
+
+// Peer implements Dialer.
+func (p *Pool) Peer(address netip.AddrPort) Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if connection, open := p.connections[address]; open {
+		return &client{rpc: relaypb.NewRelayClient(connection)}
+	}
+	connection, err := grpc.NewClient("passthrough:///"+address.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, target string) (net.Conn, error) {
+			return tcp.Dial(ctx, "tcp", target)
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, MaxDelay: maxReconnectDelay},
+			MinConnectTimeout: time.Second,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+	if err != nil {
+		return &client{broken: err}
+	}
+	p.connections[address] = connection
+	return &client{rpc: relaypb.NewRelayClient(connection)}
+}
+
+// client is a Peer over gRPC.
+type client struct {
+	rpc    relaypb.RelayClient
+	broken error
+}
+
+// Exchange implements Peer.
+func (c *client) Exchange(ctx context.Context, h Heartbeat) (Known, error) {
+	if c.broken != nil {
+		return Known{}, errors.WithMessage(ErrUnanswered, c.broken.Error())
+	}
+	message, err := encodeHeartbeat(h, time.Now())
+	if err != nil {
+		return Known{}, err
+	}
+	reply, err := c.rpc.Exchange(ctx, message)
+	if err != nil {
+		return Known{}, errors.WithMessage(ErrUnanswered, err.Error())
+	}
+	return decodeKnown(reply), nil
+}
+
+// Handle implements Peer.
+func (c *client) Handle(ctx context.Context, r Request) (answer.Answer, error) {
+	if c.broken != nil {
+		return answer.Answer{}, errors.WithMessage(ErrUnanswered, c.broken.Error())
+	}
+	reply, err := c.rpc.Handle(ctx, &relaypb.CallerRequest{
+		Method: r.Method, Host: r.Host, Path: r.Path, Key: r.Key, Body: r.Body,
+	})
+	if err != nil {
+		return answer.Answer{}, errors.WithMessage(ErrUnanswered, err.Error())
+	}
+	return answer.Answer{
+		Kind: answer.Kind(reply.GetKind()), State: graph.State(reply.GetState()), Pending: int(reply.GetPending()),
+		RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond, Reason: reply.GetReason(),
+	}, nil
+}
+
+// Ask implements Peer.
+func (c *client) Ask(ctx context.Context, job graph.ID) (JobState, error) {
+	if c.broken != nil {
+		return JobState{}, errors.WithMessage(ErrUnanswered, c.broken.Error())
+	}
+	reply, err := c.rpc.Ask(ctx, &relaypb.Question{Job: string(job)})
+	if err != nil {
+		return JobState{}, errors.WithMessage(ErrUnanswered, err.Error())
+	}
+	return JobState{Leading: reply.GetLeading(), Known: reply.GetKnown(), State: graph.State(reply.GetState())}, nil
+}
+
+func encodePolicy(h Heartbeat, now time.Time) (*relaypb.PolicySnapshot, error) {
+	message := &relaypb.PolicySnapshot{
+		Revision: int64(h.Policy.Revision), ChangedAt: int64(h.Policy.ChangedAt),
+		AgeMillis: now.Sub(h.Policy.Proven).Milliseconds(),
+	}
+	if h.Policy.Policy == nil {
+		return message, nil
+	}
+	encoded, err := json.Marshal(h.Policy.Policy)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	message.Policy = encoded
+	return message, nil
+}
+
+func encodeHeartbeat(h Heartbeat, now time.Time) (*relaypb.Heartbeat, error) {
+	snapshot, err := encodePolicy(h, now)
+	if err != nil {
+		return nil, err
+	}
+	message := &relaypb.Heartbeat{
+		Sender: encodeMember(h.Sender), Fence: int64(h.Fence), Policy: snapshot, Pending: map[string]int64{},
+	}
+	for queue, count := range h.Pending {
+		message.Pending[queue] = int64(count)
+	}
+	for _, m := range h.Members {
+		message.Members = append(message.Members, encodeMember(m))
+	}
+	return message, nil
+}
+
+func encodeMember(m Member) *relaypb.Member {
+	return &relaypb.Member{Name: string(m.Name), Address: m.Address.String()}
+}
--- /dev/null
+++ b/io/relay/peer.go
@@ -0,0 +1,72 @@
+// Package relay is what the VMs of a site say to each other: the leader's heartbeat, new configurations, and requests that
+// another VM can handle better.
+package relay
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/core/answer"
+	"auburnstack/core/graph"
+	"auburnstack/core/vm"
+	"auburnstack/io/policywatch"
+	"auburnstack/io/store"
+)
+
+// Member is a VM of the site.
+type Member struct {
+	Name    vm.Name
+	Address netip.AddrPort
+}
+
+// Heartbeat is what a VM tells another one.
+type Heartbeat struct {
+	Sender Member
+	// Fence is the leader's fencing token; 0 when the sender does not lead.
+	Fence store.Revision
+	// Policy is the newest that the sender knows. Its content is left out when the receiver is known to have it.
+	Policy policywatch.Snapshot
+	// Pending counts the jobs of each queue of which no task has started.
+	Pending map[string]int
+	Members []Member
+}
+
+// Known tells which configuration a VM has.
+type Known struct {
+	Revision  store.Revision
+	ChangedAt store.Revision
+}
+
+// Request is a caller's request that another VM passes on.
+type Request struct {
+	Method string
+	Host   string
+	Path   string
+	Key    string
+	Body   []byte
+}
+
+// JobState tells the state of a job.
+type JobState struct {
+	// Leading is false when the VM that was asked does not lead.
+	Leading bool
+	Known   bool
+	State   graph.State
+}
+
+// ErrUnanswered reports a VM that did not answer.
+var ErrUnanswered = errors.New("the VM has not answered")
+
+// Peer is another VM. Every method ends by the context's deadline.
+type Peer interface {
+	Exchange(ctx context.Context, heartbeat Heartbeat) (Known, error)
+	Handle(ctx context.Context, request Request) (answer.Answer, error)
+	Ask(ctx context.Context, job graph.ID) (JobState, error)
+}
+
+// Dialer finds the connection to a VM.
+type Dialer interface {
+	Peer(address netip.AddrPort) Peer
+}
--- /dev/null
+++ b/io/relay/server.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"auburnstack/core/answer"
+	"auburnstack/core/graph"
+	"auburnstack/core/policy"
+	"auburnstack/core/vm"
+	"auburnstack/io/policywatch"
+	"auburnstack/io/relay/relaypb"
+	"auburnstack/io/store"
+)
+
+// Handler answers other VMs.
+type Handler interface {
+	Exchange(heartbeat Heartbeat) Known
+	Handle(ctx context.Context, request Request) answer.Answer
+	Ask(ctx context.Context, job graph.ID) JobState
+}
+
+// Server answers other VMs on one listener.
+type Server struct {
+	rpc  *grpc.Server
+	done chan struct{}
+}
+
+// NewServer starts to answer on a listener.
+func NewServer(listener net.Listener, handler Handler) *Server {
+	s := &Server{rpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage)), done: make(chan struct{})}
+	relaypb.RegisterRelayServer(s.rpc, &service{handler: handler})
+	go func() {
+		defer close(s.done)
+		_ = s.rpc.Serve(listener)
+	}()
+	return s
+}
+
+// Close ends all calls and waits.
+func (s *Server) Close() {
+	s.rpc.Stop()
+	<-s.done
+}
+
+type service struct {
+	relaypb.UnimplementedRelayServer
+	handler Handler
+}
+
+// Exchange implements relaypb.RelayServer.
+func (s *service) Exchange(_ context.Context, message *relaypb.Heartbeat) (*relaypb.HeartbeatReply, error) {
+	h, err := decodeHeartbeat(message, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	known := s.handler.Exchange(h)
+	return &relaypb.HeartbeatReply{Revision: int64(known.Revision), ChangedAt: int64(known.ChangedAt)}, nil
+}
+
+// Handle implements relaypb.RelayServer.
+func (s *service) Handle(ctx context.Context, r *relaypb.CallerRequest) (*relaypb.CallerReply, error) {
+	reply := s.handler.Handle(ctx, Request{
+		Method: r.GetMethod(), Host: r.GetHost(), Path: r.GetPath(), Key: r.GetKey(), Body: r.GetBody(),
+	})
+	return &relaypb.CallerReply{
+		Kind: uint32(reply.Kind), State: string(reply.State), Pending: int64(reply.Pending),
+		RetryAfterMillis: reply.RetryAfter.Milliseconds(), Reason: reply.Reason,
+	}, nil
+}
+
+// Ask implements relaypb.RelayServer.
+func (s *service) Ask(ctx context.Context, q *relaypb.Question) (*relaypb.Answer, error) {
+	job := s.handler.Ask(ctx, graph.ID(q.GetJob()))
+	return &relaypb.Answer{Leading: job.Leading, Known: job.Known, State: string(job.State)}, nil
+}
+
+func decodeHeartbeat(message *relaypb.Heartbeat, now time.Time) (Heartbeat, error) {
+	sender, err := decodeMember(message.GetSender())
+	if err != nil {
+		return Heartbeat{}, err
+	}
+	h := Heartbeat{Sender: sender, Fence: store.Revision(message.GetFence()), Pending: map[string]int{}}
+	if h.Policy, err = decodePolicy(message.GetPolicy(), now); err != nil {
+		return Heartbeat{}, err
+	}
+	for queue, count := range message.GetPending() {
+		h.Pending[queue] = int(count)
+	}
+	for _, m := range message.GetMembers() {
+		member, err := decodeMember(m)
+		if err != nil {
+			return Heartbeat{}, err
+		}
+		h.Members = append(h.Members, member)
+	}
+	return h, nil
+}
+
+func decodePolicy(message *relaypb.PolicySnapshot, now time.Time) (policywatch.Snapshot, error) {
+	snapshot := policywatch.Snapshot{
+		Revision: store.Revision(message.GetRevision()), ChangedAt: store.Revision(message.GetChangedAt()),
+		Proven: now.Add(-time.Duration(message.GetAgeMillis()) * time.Millisecond),
+	}
+	if len(message.GetPolicy()) == 0 {
+		return snapshot, nil
+	}
+	snapshot.Policy = &policy.Policy{}
+	return snapshot, errors.WithStack(json.Unmarshal(message.GetPolicy(), snapshot.Policy))
+}
+
+func decodeMember(message *relaypb.Member) (Member, error) {
+	address, err := netip.ParseAddrPort(message.GetAddress())
+	if err != nil {
+		return Member{}, errors.WithMessagef(err, "the address of %q can't be read", message.GetName())
+	}
+	return Member{Name: vm.Name(message.GetName()), Address: address}, nil
+}
+
+func decodeKnown(reply *relaypb.HeartbeatReply) Known {
+	return Known{Revision: store.Revision(reply.GetRevision()), ChangedAt: store.Revision(reply.GetChangedAt())}
+}
--- /dev/null
+++ b/io/site/registrar.go
@@ -0,0 +1,94 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"auburnstack/io/relay"
+	"auburnstack/io/store"
+	"auburnstack/io/wait"
+)
+
+const (
+	// registrationTime is the time after which a VM that does not renew is no longer listed.
+	registrationTime = 8 * time.Second
+	// registrationInterval is the time between two renewals.
+	registrationInterval = 2 * time.Second
+	// registrationPause is the pause after a try that failed.
+	registrationPause = 300 * time.Millisecond
+	// registrationTimeout bounds one try.
+	registrationTimeout = time.Second
+)
+
+// registrar keeps the VM's registration in the store.
+type registrar struct {
+	store  store.Store
+	self   relay.Member
+	log    hclog.Logger
+	lease  store.LeaseID
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newRegistrar(s store.Store, self relay.Member, log hclog.Logger) *registrar {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &registrar{store: s, self: self, log: log, cancel: cancel, done: make(chan struct{})}
+	go r.run(ctx)
+	return r
+}
+
+// Close removes the registration and waits.
+func (r *registrar) Close() {
+	r.cancel()
+	<-r.done
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), registrationTimeout)
+	defer cancel()
+	if err := r.store.End(ctx, r.lease); err != nil {
+		r.log.Debug("registration not removed", "error", err.Error())
+	}
+}
+
+func (r *registrar) run(ctx context.Context) {
+	defer close(r.done)
+	for ctx.Err() == nil {
+		if err := r.keep(ctx); err != nil {
+			r.log.Debug("registration not renewed", "error", err.Error())
+			wait.For(ctx, registrationPause)
+			continue
+		}
+		wait.For(ctx, registrationInterval)
+	}
+}
+
+func (r *registrar) keep(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
+	defer cancel()
+	if r.lease != 0 {
+		err := r.store.Renew(ctx, r.lease)
+		if !errors.Is(err, store.ErrLeaseEnded) {
+			return err
+		}
+		r.lease = 0
+	}
+	value, err := encodeMember(r.self)
+	if err != nil {
+		return err
+	}
+	lease, err := r.store.Grant(ctx, registrationTime)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Commit(ctx, store.Transaction{
+		Puts: []store.Put{{Key: vmPrefix + string(r.self.Name), Value: value, Lease: lease}},
+	})
+	if err == nil {
+		r.lease = lease
+	}
+	return err
+}
--- /dev/null
+++ b/io/wait/wait.go
@@ -0,0 +1,17 @@
+// Package wait pauses a goroutine until a time has passed or its work is canceled.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For returns after a duration, or when the context ends.
+func For(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
