A worker that does not answer is asked without renewing its lease

A worker had left while a successor took over; the link went on sending holds with a lease, each of which might still arrive, so the planner could never conclude that the lease had ended, and the worker's tasks waited for ever.

Ruled out: the planner's expiry (it follows the last renewal that was sent); a missing registration.

Change: after a hold without an answer, holds carry no lease and starts wait until the worker answers again.

--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -39,6 +39,9 @@
 	seen int64
 	// sent is when an order that renews the lease was sent last.
 	sent time.Time
+	// silent is set after a hold without an answer. The lease is not renewed then, as it would never be known to have
+	// ended while such holds may still arrive.
+	silent bool
 	// clock is the worker's clock at a time; 0 until it is known.
 	clock   runner.WorkerTime
 	clockAt time.Time
@@ -91,15 +94,18 @@
 	hold := runner.Hold{Fence: runner.Fence(l.term.role.Fence)}
 	l.mu.Lock()
 	hold.Seen = l.seen
-	if l.clock != 0 {
+	if l.clock != 0 && !l.silent {
 		hold.Wait = holdWait
 	}
 	l.mu.Unlock()
 	sent := time.Now()
-	hold.Until = l.until(sent)
+	if !l.isSilent() {
+		hold.Until = l.until(sent)
+	}
 	call, cancel := context.WithTimeout(ctx, hold.Wait+holdTimeout)
 	defer cancel()
 	held, err := l.worker.Hold(call, hold)
+	l.setSilent(err != nil)
 	if err == nil {
 		l.readClock(held.Clock, held.Incarnation, time.Now())
 	}
@@ -129,6 +135,18 @@
 	l.clock, l.clockAt = clock, now
 }
 
+func (l *link) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
+func (l *link) setSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = silent
+}
+
 func (l *link) lastSent() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -98,7 +98,8 @@
 
 func (o *orders) send(key orderKey, entry *order) {
 	l, linked := o.term.links[key.worker]
-	if !linked || !o.term.role.Valid() {
+	// A start would renew the lease of a worker that does not answer.
+	if !linked || !o.term.role.Valid() || l.isSilent() && !key.stop {
 		entry.next = time.Now().Add(orderRetry)
 		return
 	}
