Orders name the worker that they are meant for

A worker that crashed comes back with another name at the same address while its old registration still stands; both names led to the same worker, and each was given its full room.

Change: each order carries the worker's name; the answer of another worker at that address ends everything that ran under the old name.

--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// Gone ends everything that ran on a worker, as it has ended itself.
+func (p *Planner) Gone(name endpoint.Name, now time.Time) {
+	w, known := p.workers[name]
+	if !known {
+		return
+	}
+	p.Answered(name, false)
+	p.reborn(w, now)
+}
+
 // Renewed notes that an order which renews a worker's lease was sent.
 func (p *Planner) Renewed(name endpoint.Name, sent time.Time) {
 	if w, known := p.workers[name]; known {
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -32,6 +32,9 @@
 // workerSilent tells that a worker has not answered a hold.
 type workerSilent struct{ worker endpoint.Name }
 
+// workerGone tells that a worker has ended with all its runs.
+type workerGone struct{ worker endpoint.Name }
+
 // startAnswered is the outcome of a start.
 type startAnswered struct {
 	start   planner.Start
@@ -65,6 +68,7 @@
 func (jobsAccepted) isEvent()   {}
 func (workerHeld) isEvent()     {}
 func (workerSilent) isEvent()   {}
+func (workerGone) isEvent()     {}
 func (startAnswered) isEvent()  {}
 func (stopAnswered) isEvent()   {}
 func (flushed) isEvent()        {}
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -20,6 +20,8 @@
 	holdTimeout = 700 * time.Millisecond
 	// holdPause is the pause after a hold without an answer.
 	holdPause = 150 * time.Millisecond
+	// gonePause is the pause before a worker is asked again after another one has answered in its place.
+	gonePause = time.Second
 	// ackPause is the longest time for which the next hold waits until ends are recorded.
 	ackPause = time.Second
 )
@@ -74,6 +76,9 @@
 			l.term.config.Log.Warn("a worker obeys a newer leader", "worker", l.info.Name)
 			l.term.role.Resign()
 			return
+		case errors.Is(err, runner.ErrGone):
+			l.term.post(workerGone{worker: l.info.Name})
+			wait.For(ctx, gonePause)
 		case err != nil:
 			if ctx.Err() != nil {
 				return
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		answer.reason = err.Error()
 		answer.outcome = planner.Unanswered
-		if errors.Is(err, runner.ErrRejected) || errors.Is(err, runner.ErrNoRoom) || errors.Is(err, runner.ErrUnhealthy) {
+		if isRefusal(err) {
 			answer.outcome = planner.Rejected
 		}
 		o.term.config.Metrics.orderFailed(err)
@@ -135,11 +135,21 @@
 	o.term.post(answer)
 }
 
+// isRefusal tells whether an order had no effect and will have none.
+func isRefusal(err error) bool {
+	for _, refusal := range []error{runner.ErrRejected, runner.ErrNoRoom, runner.ErrUnhealthy, runner.ErrGone} {
+		if errors.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *orders) stop(l *link, a planner.Stop) {
 	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
 	err := l.worker.Stop(ctx, runner.Stop{Task: a.Task, Run: a.Run, Fence: runner.Fence(o.term.role.Fence)})
-	accepted := err == nil || errors.Is(err, runner.ErrRejected)
+	accepted := err == nil || errors.Is(err, runner.ErrRejected) || errors.Is(err, runner.ErrGone)
 	if err != nil {
 		o.term.config.Metrics.orderFailed(err)
 		o.term.config.Log.Warn("stop not confirmed", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -206,6 +206,9 @@
 		t.observe(e, now)
 	case workerSilent:
 		t.planner.Answered(e.worker, false)
+	case workerGone:
+		t.config.Log.Info("worker gone", "worker", e.worker)
+		t.planner.Gone(e.worker, now)
 	case startAnswered:
 		t.planner.StartAnswered(e.start, e.outcome, now)
 		t.orders.startAnswered(e)
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -69,6 +69,8 @@
 	ErrUnanswered = errors.New("the worker has not answered")
 	// ErrUnreachable reports an order that was never sent.
 	ErrUnreachable = errors.New("the worker can't be reached")
+	// ErrGone reports that another worker answers at the address: the one that was meant has ended, with all its runs.
+	ErrGone = errors.New("another worker answers at the address")
 	// ErrUnhealthy reports an order that an unhealthy worker has refused.
 	ErrUnhealthy = errors.New("the worker says that it is unhealthy")
 )
