A VM that reaches neither the store nor a leader reports that it is not ready, and refuses at once

Cause: during a cut of a failure domain its VMs kept their callers, tried the store for 0.5 to 2.8 s and answered "unknown", so that callers used up their tries in the domain that was cut off.

Ruled out: retries inside the VM (nothing comes back before the cut heals).

Change: a monitor notes whether the store answers; without it requests go to other VMs first or are refused at once with a Retry-After that grows with the outage and spreads; a message that was never sent is told from one without an answer.

--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"regexp"
 	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"auburnstack/core/account"
 	"auburnstack/core/answer"
@@ -22,16 +24,16 @@
 const (
 	// freshFor is the age of the last proof up to which a configuration decides that a caller is refused for good.
 	freshFor = 1500 * time.Millisecond
-	// storeSilence is the time without an answer of the store after which requests are passed on to other VMs first.
-	storeSilence = 1300 * time.Millisecond
-	// retryAfter is when a caller should come back after a refusal that is not its own fault.
-	retryAfter = time.Second
+	// shortRetry is when callers should come back after a refusal; longRetry once an outage lasts for longOutage.
+	shortRetry = time.Second
+	longRetry  = 2 * time.Second
+	longOutage = 2 * time.Second
+	// retrySpread spreads the returns of callers.
+	retrySpread = 2 * time.Second
 	// storePause is the pause between two tries of a call to the store.
 	storePause = 60 * time.Millisecond
 	// relayTimeout bounds a request that is passed on.
 	relayTimeout = 1200 * time.Millisecond
-	// answerReserve is kept of the caller's deadline for the way back.
-	answerReserve = 250 * time.Millisecond
 )
 
 // Codec reads submissions.
@@ -52,7 +54,7 @@
 
 // Intake answers callers.
 type Intake struct {
-	store   store.Store
+	store   *store.Monitor
 	codec   Codec
 	watcher *policywatch.Watcher
 	site    Site
@@ -62,7 +64,7 @@
 
 // New returns an intake.
 func New(
-	s store.Store, codec Codec, watcher *policywatch.Watcher, site Site, metrics *Metrics, log hclog.Logger,
+	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, metrics *Metrics, log hclog.Logger,
 ) *Intake {
 	return &Intake{store: s, codec: codec, watcher: watcher, site: site, metrics: metrics, log: log}
 }
@@ -108,22 +110,16 @@
 func (i *Intake) handle(ctx context.Context, c *call) answer.Answer {
 	c.snapshot = i.watcher.Current()
 	if c.snapshot.Policy == nil {
-		return i.passOn(ctx, c, answer.Answer{
-			Kind: answer.Refused, RetryAfter: retryAfter, Reason: "no configuration is known yet",
-		})
+		return i.passOn(ctx, c, i.refusal("no configuration is known yet"))
 	}
 	if refusal, refused := i.route(c); refused {
 		if i.fresh(c.snapshot) {
 			return refusal
 		}
-		return i.passOn(ctx, c, answer.Answer{
-			Kind: answer.Refused, RetryAfter: retryAfter, Reason: "the configuration may be outdated: " + refusal.Reason,
-		})
+		return i.passOn(ctx, c, i.refusal("the configuration may be outdated: "+refusal.Reason))
 	}
-	if !c.relayed && !i.fresh(c.snapshot) && time.Since(i.watcher.Answered()) > storeSilence {
-		if a, answered := i.relay(ctx, c); answered {
-			return a
-		}
+	if c.Method != "GET" && !i.store.Answering() {
+		return i.passOn(ctx, c, i.refusal("the store does not answer"))
 	}
 	switch c.Method {
 	case "POST":
@@ -163,6 +159,15 @@
 	return time.Since(snapshot.Proven) < freshFor
 }
 
+// refusal tells a caller to come back, later when an outage lasts and not all callers at once.
+func (i *Intake) refusal(reason string) answer.Answer {
+	retry := shortRetry
+	if i.store.Outage() > longOutage {
+		retry = longRetry
+	}
+	return answer.Answer{Kind: answer.Refused, RetryAfter: retry + rand.N(retrySpread), Reason: reason}
+}
+
 // passOn lets another VM answer, or returns the given answer when none does.
 func (i *Intake) passOn(ctx context.Context, c *call, otherwise answer.Answer) answer.Answer {
 	if c.relayed {
@@ -186,7 +191,7 @@
 		a, err := peer.Handle(try, c.Request)
 		cancel()
 		if err != nil {
-			uncertain = true
+			uncertain = uncertain || !errors.Is(err, relay.ErrUnreachable)
 			continue
 		}
 		if a.Kind == answer.Refused {
--- a/io/intake/show.go
+++ b/io/intake/show.go
@@ -29,7 +29,7 @@
 		return answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
 	}
 	if err != nil {
-		return i.passOn(ctx, c, unavailable(err))
+		return i.passOn(ctx, c, i.refusal(err.Error()))
 	}
 	return answer.Answer{Kind: answer.State, State: state}
 }
@@ -37,9 +37,7 @@
 func (i *Intake) showPending(ctx context.Context, c *call) answer.Answer {
 	counts, age, known := i.site.Pending()
 	if !known || age > countsFor {
-		return i.passOn(ctx, c, answer.Answer{
-			Kind: answer.Refused, RetryAfter: retryAfter, Reason: "no leader has counted the jobs lately",
-		})
+		return i.passOn(ctx, c, i.refusal("no leader has counted the jobs lately"))
 	}
 	return answer.Answer{Kind: answer.Pending, Pending: counts[c.queue.Name]}
 }
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -59,7 +59,7 @@
 		return answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
 	}
 	if err != nil {
-		return i.passOn(ctx, c, unavailable(err))
+		return i.passOn(ctx, c, i.refusal(err.Error()))
 	}
 	job, err := coordinator.DecodeJob(item)
 	if err != nil {
@@ -108,7 +108,7 @@
 			if a, answered := i.relayOnce(ctx, c); answered {
 				return a
 			}
-			return unavailable(err)
+			return i.refusal(err.Error())
 		case !errors.Is(err, store.ErrRefused):
 			uncertain = true
 		}
@@ -126,10 +126,10 @@
 func (i *Intake) outdated(ctx context.Context, c *call, conflict *store.ConflictError) answer.Answer {
 	i.watcher.Learn(conflict.Item(i.watcher.Key()))
 	if i.watcher.Current().Revision == c.snapshot.Revision {
-		return answer.Answer{Kind: answer.Refused, RetryAfter: retryAfter, Reason: "the configuration has changed"}
+		return i.refusal("the configuration has changed")
 	}
 	if ctx.Err() != nil {
-		return answer.Answer{Kind: answer.Refused, RetryAfter: retryAfter, Reason: "the configuration has changed"}
+		return i.refusal("the configuration has changed")
 	}
 	return i.handle(ctx, c)
 }
@@ -140,7 +140,3 @@
 	}
 	return i.relay(ctx, c)
 }
-
-func unavailable(err error) answer.Answer {
-	return answer.Answer{Kind: answer.Refused, RetryAfter: retryAfter, Reason: err.Error()}
-}
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -18,7 +18,9 @@
 
 const (
 	// watchWait is how long one watch waits; each answer proves that the configuration is current.
-	watchWait = time.Second
+	watchWait = 800 * time.Millisecond
+	// callTimeout bounds the delivery of a call and its answer.
+	callTimeout = 500 * time.Millisecond
 	// retryPause is the pause after a call that failed.
 	retryPause = 150 * time.Millisecond
 )
@@ -61,8 +63,6 @@
 	// adopted is called after a configuration was adopted; fromStore tells where it came from.
 	adopted func(snapshot *Snapshot, fromStore bool)
 	current atomic.Pointer[Snapshot]
-	// answered is when the store answered last.
-	answered atomic.Pointer[time.Time]
 
 	// mu orders adoptions.
 	mu sync.Mutex
@@ -77,7 +77,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Watcher{store: s, codec: codec, log: log, adopted: adopted, cancel: cancel, done: make(chan struct{})}
 	w.current.Store(&Snapshot{})
-	w.noteAnswer()
 	go w.run(ctx)
 	return w
 }
@@ -93,21 +92,11 @@
 	return w.codec.Key()
 }
 
-// Answered returns when the store answered last.
-func (w *Watcher) Answered() time.Time {
-	return *w.answered.Load()
-}
-
 // Current returns the newest snapshot that is known.
 func (w *Watcher) Current() *Snapshot {
 	return w.current.Load()
 }
 
-func (w *Watcher) noteAnswer() {
-	now := time.Now()
-	w.answered.Store(&now)
-}
-
 func (w *Watcher) run(ctx context.Context) {
 	defer close(w.done)
 	for ctx.Err() == nil {
@@ -124,7 +113,6 @@
 	if err != nil {
 		return err
 	}
-	w.noteAnswer()
 	w.items = map[string]store.Item{}
 	for _, item := range page.Items {
 		w.items[item.Key] = item
@@ -132,7 +120,7 @@
 	w.publish(page.At)
 	at := page.At
 	for {
-		changes, err := w.store.Watch(ctx, w.codec.Prefix(), at, watchWait)
+		changes, err := w.watch(ctx, at)
 		if errors.Is(err, store.ErrCompacted) {
 			return nil
 		}
@@ -140,7 +128,6 @@
 			return err
 		}
 		at = changes.At
-		w.noteAnswer()
 		if len(changes.Events) == 0 {
 			w.prove()
 			continue
@@ -156,6 +143,12 @@
 	}
 }
 
+func (w *Watcher) watch(ctx context.Context, at store.Revision) (store.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	return w.store.Watch(ctx, w.codec.Prefix(), at, watchWait)
+}
+
 // publish adopts what the mirrored items say as of a revision.
 func (w *Watcher) publish(at store.Revision) {
 	item, found := w.items[w.codec.Key()]
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/peer"
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
@@ -115,10 +116,15 @@
 	if c.broken != nil {
 		return answer.Answer{}, errors.WithMessage(ErrUnanswered, c.broken.Error())
 	}
+	var receiver peer.Peer
 	reply, err := c.rpc.Handle(ctx, &relaypb.CallerRequest{
 		Method: r.Method, Host: r.Host, Path: r.Path, Key: r.Key, Body: r.Body,
-	})
-	if err != nil {
+	}, grpc.Peer(&receiver))
+	switch {
+	case err != nil && receiver.Addr == nil:
+		// No connection was there to send the message on.
+		return answer.Answer{}, errors.WithMessage(ErrUnreachable, err.Error())
+	case err != nil:
 		return answer.Answer{}, errors.WithMessage(ErrUnanswered, err.Error())
 	}
 	return answer.Answer{
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -56,8 +56,13 @@
 	State   graph.State
 }
 
-// ErrUnanswered reports a VM that did not answer.
-var ErrUnanswered = errors.New("the VM has not answered")
+// Errors of a peer.
+var (
+	// ErrUnreachable reports a message that was never sent.
+	ErrUnreachable = errors.New("the VM can't be reached")
+	// ErrUnanswered reports a VM that did not answer; it may have acted on the message.
+	ErrUnanswered = errors.New("the VM has not answered")
+)
 
 // Peer is another VM. Every method ends by the context's deadline.
 type Peer interface {
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -53,7 +53,7 @@
 func (n *Node) readMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	page, err := n.config.Store.Range(ctx, vmPrefix)
+	page, err := n.store.Range(ctx, vmPrefix)
 	if err != nil {
 		n.config.Log.Debug("registered VMs not read", "error", err.Error())
 		return
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -58,6 +58,7 @@
 // Node is a VM of a site without its listeners towards callers.
 type Node struct {
 	config      Config
+	store       *store.Monitor
 	self        relay.Member
 	pool        *relay.Pool
 	watcher     *policywatch.Watcher
@@ -78,23 +79,24 @@
 		config: config, self: relay.Member{Name: config.Name, Address: config.Address},
 		pool: relay.NewPool(), cancel: cancel,
 	}
+	n.store = store.NewMonitor(config.Store)
 	n.members = newMembers(n.self, config.Seeds)
 	n.coordinator = coordinator.New(coordinator.Config{
-		Store: config.Store, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
+		Store: n.store, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
 		Policy:  func() *policywatch.Snapshot { return n.watcher.Current() },
 		Metrics: coordinator.NewMetrics(config.Metrics), Log: config.Log,
 	})
 	ready := make(chan struct{})
-	n.watcher = policywatch.New(config.Store, config.Codecs.Policy, config.Log,
+	n.watcher = policywatch.New(n.store, config.Codecs.Policy, config.Log,
 		func(snapshot *policywatch.Snapshot, fromStore bool) {
 			<-ready
 			n.policyAdopted(snapshot, fromStore)
 		})
-	n.intake = intake.New(config.Store, config.Codecs.Jobs, n.watcher, n,
+	n.intake = intake.New(n.store, config.Codecs.Jobs, n.watcher, n,
 		intake.NewMetrics(config.Metrics), config.Log)
-	n.registrar = newRegistrar(config.Store, n.self, config.Log)
+	n.registrar = newRegistrar(n.store, n.self, config.Log)
 	n.server = relay.NewServer(config.Listener, n)
-	n.candidate = election.New(config.Store, election.Leader{
+	n.candidate = election.New(n.store, election.Leader{
 		Name: config.Name, Address: config.Address, Incarnation: config.Incarnation,
 	}, config.Clock, config.Log, election.Callbacks{
 		Idle: n.members.hearsLeader, Lead: n.lead, Seen: n.members.leaderSeen,
@@ -140,9 +142,9 @@
 	return n.intake.Handle(ctx, request, false)
 }
 
-// Ready tells whether the VM can answer callers: it knows a configuration.
+// Ready tells whether the VM can answer callers: it knows a configuration, and it reaches the store or a leader that does.
 func (n *Node) Ready() bool {
-	return n.watcher.Current().Policy != nil
+	return n.watcher.Current().Policy != nil && (n.store.Answering() || n.members.hearsLeader())
 }
 
 // Policy returns the configuration in force.
