Headroom for urgent jobs, and evictions chosen by rack and cost

Ruled out: fewer urgent jobs at once (they are within the objective when started at once).

Change: other work leaves as many accelerators free as urgent jobs asked for in the last 6 s, for 1.5 s ahead; evictions are weighed for each rack by lost work; tasks outside gangs fill racks that are in use.

--- /dev/null
+++ b/core/planner/headroom.go
@@ -0,0 +1,69 @@
+package planner
+
+import (
+	"time"
+
+	"auburnstack/core/graph"
+)
+
+const (
+	// headroomWindow is the time over which urgent demand is measured.
+	headroomWindow = 6 * time.Second
+	// headroomCover is the time for which free room must cover urgent demand, until room is made by stopping other work.
+	headroomCover = 1500 * time.Millisecond
+	// maxHeadroom bounds the part of all accelerators that is kept free.
+	maxHeadroom = 0.25
+	// minHeadroom is the part that is kept free while urgent jobs have come at all lately.
+	minHeadroom = 0.04
+)
+
+// headroom measures how many accelerators urgent jobs ask for, so that as many can be kept free of other work. Stopping
+// work takes time and throws some of it away.
+type headroom struct {
+	arrivals []arrival
+}
+
+// arrival is an urgent job's demand of accelerators.
+type arrival struct {
+	at           time.Time
+	accelerators int64
+}
+
+func (h *headroom) arrived(job *graph.Job, now time.Time) {
+	var sum int64
+	for i := range job.Steps {
+		if len(job.Steps[i].After) == 0 {
+			sum += job.Steps[i].Needs.Accelerators * int64(job.Steps[i].Tasks)
+		}
+	}
+	h.arrivals = append(h.arrivals, arrival{at: now, accelerators: sum})
+}
+
+// target returns the accelerators to be kept free out of a total.
+func (h *headroom) target(total int64, now time.Time) int64 {
+	for len(h.arrivals) > 0 && now.Sub(h.arrivals[0].at) > headroomWindow {
+		h.arrivals = h.arrivals[1:]
+	}
+	if len(h.arrivals) == 0 {
+		return 0
+	}
+	var sum int64
+	for _, a := range h.arrivals {
+		sum += a.accelerators
+	}
+	cover := int64(float64(sum) * headroomCover.Seconds() / headroomWindow.Seconds())
+	return max(int64(minHeadroom*float64(total)), min(cover, int64(maxHeadroom*float64(total))))
+}
+
+// spare returns how many accelerators units that are not urgent may take now.
+func (p *Planner) spare(service string, now time.Time) int64 {
+	var total, free int64
+	for _, w := range p.order {
+		if w.Service != service || !p.accepts(w, now) {
+			continue
+		}
+		total += w.Capacity.Accelerators
+		free += max(w.free().Accelerators, 0)
+	}
+	return free - p.headroom.target(total, now)
+}
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -34,6 +34,9 @@
 	}
 	j := p.newJob(job)
 	p.jobs[job.ID] = j
+	if j.queue.Priority == 0 {
+		p.headroom.arrived(job, now)
+	}
 	p.unblock(j, now)
 	p.changed = true
 }
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -16,6 +16,8 @@
 type candidate struct {
 	worker *worker
 	count  int
+	// available is the number of free accelerators.
+	available int64
 	// left is what would be free after those tasks, for the tightest fit.
 	left resources.Amounts
 }
@@ -72,7 +74,9 @@
 		}
 		available := free(w)
 		if count := available.Count(step.Needs, limit); count > 0 {
-			list = append(list, candidate{worker: w, count: count, left: available.Sub(step.Needs.Times(count))})
+			list = append(list, candidate{
+				worker: w, count: count, available: available.Accelerators, left: available.Sub(step.Needs.Times(count)),
+			})
 		}
 	}
 	return list
@@ -122,9 +126,20 @@
 	return pick(inRack(candidates, best), size)
 }
 
-// pick returns places for a number of tasks on the workers that they fill best, or nil.
+// pick returns places for a number of tasks on the workers that they fill best, or nil. Racks in which little is free come
+// first, so that whole racks stay free for gangs.
 func pick(candidates []candidate, size int) []*worker {
-	sort.SliceStable(candidates, func(i, j int) bool { return tighter(&candidates[i], &candidates[j]) })
+	free := map[endpoint.Rack]int64{}
+	for i := range candidates {
+		free[candidates[i].worker.Rack] += candidates[i].available
+	}
+	sort.SliceStable(candidates, func(i, j int) bool {
+		a, b := &candidates[i], &candidates[j]
+		if x, y := free[a.worker.Rack], free[b.worker.Rack]; x != y {
+			return x < y
+		}
+		return tighter(a, b)
+	})
 	places := make([]*worker, 0, size)
 	for _, c := range candidates {
 		for range min(c.count, size-len(places)) {
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -39,7 +39,16 @@
 }
 
 func (p *Planner) placeWaiting(now time.Time) {
+	spare := map[string]int64{}
 	for _, u := range p.queueOrder(now) {
+		service := u.job.queue.Service
+		if _, counted := spare[service]; !counted {
+			spare[service] = p.spare(service, now)
+		}
+		demand := u.spec().Needs.Accelerators * int64(u.size())
+		if u.job.queue.Priority > 0 && demand > spare[service] {
+			continue
+		}
 		places := p.place(u, now)
 		if places == nil && u.job.queue.Priority == 0 {
 			places = p.preemptFor(u, now)
@@ -47,6 +56,7 @@
 		if places == nil {
 			continue
 		}
+		spare[service] -= demand
 		delete(p.waiting, u)
 		u.reserve(places)
 		u.phase = vacating
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -49,6 +49,8 @@
 	// changed is set when an event may have made a decision possible.
 	changed bool
 	speeds  *speeds
+	// headroom is what is kept free for urgent jobs.
+	headroom headroom
 }
 
 // New returns a planner without workers and jobs.
--- a/core/planner/preempt.go
+++ b/core/planner/preempt.go
@@ -4,46 +4,120 @@
 	"sort"
 	"time"
 
+	"auburnstack/core/endpoint"
 	"auburnstack/core/resources"
 )
 
+const (
+	// restartLoss is added to the work that a stop throws away, as time for which the unit's resources are lost.
+	restartLoss = 500 * time.Millisecond
+	// checkpointLoss is the work since the last checkpoint that a stop throws away on average.
+	checkpointLoss = 500 * time.Millisecond
+)
+
 // victim is a unit that may be stopped for a more urgent one.
 type victim struct {
 	unit *unit
-	// loss is the work that would be done again, in core-seconds.
+	// loss is what stopping it costs, in core-seconds weighted by priority.
 	loss float64
 }
 
+// eviction is a way to make room: what is stopped, and where the urgent unit then goes.
+type eviction struct {
+	victims []victim
+	places  []*worker
+	loss    float64
+}
+
 // preemptFor stops the least valuable work that makes room for an urgent unit, and returns its places. It returns nil,
 // and stops nothing, when no such work makes enough room.
 func (p *Planner) preemptFor(u *unit, now time.Time) []*worker {
+	victims := p.victims(u, now)
+	if len(victims) == 0 {
+		return nil
+	}
+	best := p.cheapestRack(u, victims, now)
+	if best == nil {
+		best = p.evict(u, victims, now, func(u *unit, free room) []*worker { return p.placeIn(u, now, free) })
+	}
+	if best == nil {
+		return nil
+	}
+	for _, v := range best.victims {
+		p.displace(v.unit, now)
+	}
+	return best.places
+}
+
+// cheapestRack returns the eviction that costs least among those that give a unit one rack, or nil. A unit that may go
+// anywhere is tried in each rack too, as a whole rack of work is seldom spread further than it must be.
+func (p *Planner) cheapestRack(u *unit, victims []victim, now time.Time) *eviction {
+	inRacks := map[endpoint.Rack][]victim{}
+	var racks []endpoint.Rack
+	for _, v := range victims {
+		for rack := range v.unit.racks() {
+			if inRacks[rack] == nil {
+				racks = append(racks, rack)
+			}
+			inRacks[rack] = append(inRacks[rack], v)
+		}
+	}
+	sort.Slice(racks, func(i, j int) bool { return racks[i] < racks[j] })
+	var best *eviction
+	for _, rack := range racks {
+		if data := u.spec().DataRack; data != "" && endpoint.Rack(data) != rack {
+			continue
+		}
+		e := p.evict(u, inRacks[rack], now, func(u *unit, free room) []*worker {
+			return pick(inRack(p.candidates(u, now, free), rack), u.size())
+		})
+		if e != nil && (best == nil || e.loss < best.loss) {
+			best = e
+		}
+	}
+	return best
+}
+
+func (u *unit) racks() map[endpoint.Rack]bool {
+	racks := map[endpoint.Rack]bool{}
+	for _, m := range u.members {
+		if m.state != ended {
+			racks[m.worker.Rack] = true
+		}
+	}
+	return racks
+}
+
+// evict gathers victims, the cheapest first, until a unit can be placed, and leaves out again those that are not needed.
+func (p *Planner) evict(
+	u *unit, victims []victim, now time.Time, place func(u *unit, free room) []*worker,
+) *eviction {
 	freed := map[*worker]resources.Amounts{}
 	free := func(w *worker) resources.Amounts { return w.free().Add(freed[w]) }
 	var chosen []victim
-	var places []*worker
-	for _, v := range p.victims(u, now) {
-		chosen = append(chosen, v)
-		v.free(freed, 1)
-		if places = p.placeIn(u, now, free); places != nil {
-			break
-		}
+	places := place(u, free)
+	for i := 0; places == nil && i < len(victims); i++ {
+		chosen = append(chosen, victims[i])
+		victims[i].free(freed, 1)
+		places = place(u, free)
 	}
 	if places == nil {
 		return nil
 	}
-	for i := len(chosen) - 2; i >= 0; i-- {
+	for i := len(chosen) - 1; i >= 0; i-- {
 		chosen[i].free(freed, -1)
-		if fewer := p.placeIn(u, now, free); fewer != nil {
+		if fewer := place(u, free); fewer != nil {
 			places = fewer
 			chosen = append(chosen[:i], chosen[i+1:]...)
 			continue
 		}
 		chosen[i].free(freed, 1)
 	}
+	e := &eviction{victims: chosen, places: places}
 	for _, v := range chosen {
-		p.displace(v.unit, now)
+		e.loss += v.loss
 	}
-	return places
+	return e
 }
 
 // free adds what a victim holds to freed, n times.
@@ -67,7 +141,7 @@
 	}
 }
 
-// victims lists what may be stopped for a unit: first by priority, then by the work that would be lost.
+// victims lists what may be stopped for a unit, the cheapest for each accelerator first.
 func (p *Planner) victims(u *unit, now time.Time) []victim {
 	entitled := p.withinGuarantee(u)
 	seen := map[*unit]bool{}
@@ -86,17 +160,22 @@
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := &list[i], &list[j]
-		if a.unit.job.queue.Priority != b.unit.job.queue.Priority {
-			return a.unit.job.queue.Priority > b.unit.job.queue.Priority
+		if (a.unit.job.queue.Priority == 0) != (b.unit.job.queue.Priority == 0) {
+			return a.unit.job.queue.Priority > 0
 		}
-		if a.loss != b.loss {
-			return a.loss < b.loss
+		if x, y := a.lossDensity(), b.lossDensity(); x != y {
+			return x < y
 		}
 		return a.unit.less(b.unit)
 	})
 	return list
 }
 
+// lossDensity is the loss for each core that a victim gives back.
+func (v *victim) lossDensity() float64 {
+	return v.loss / max(v.unit.spec().Needs.Cores()*float64(v.unit.size()), 1)
+}
+
 func (p *Planner) mayDisplace(u, v *unit, entitled bool) bool {
 	if v.job.queue.Priority > u.job.queue.Priority {
 		return true
@@ -126,14 +205,19 @@
 	return sum
 }
 
-// loss estimates the work of a running unit that a stop would throw away.
+// loss estimates what stopping a unit costs: work done again, weighted so that more urgent work is stopped later.
 func (p *Planner) loss(v *unit, now time.Time) float64 {
 	if v.phase != running {
 		return 0
 	}
 	lost := now.Sub(v.started)
 	if v.spec().Checkpoints {
-		lost = min(lost, time.Second)
+		lost = min(lost, checkpointLoss)
+	}
+	const urgency = 3
+	weight := 1.0
+	if v.job.queue.Priority <= 1 {
+		weight = urgency
 	}
-	return lost.Seconds() * v.spec().Needs.Cores() * float64(v.size())
+	return weight * (lost + restartLoss).Seconds() * v.spec().Needs.Cores() * float64(v.size())
 }
