A silent worker makes the others of its failure domain be asked at once

Cause: after a cut of a failure domain tasks were still ordered to its workers for up to 1.7 s, the wait and timeout of a hold.

Change: the first silence ends the waiting holds of that domain and asks again; the timeout of a hold is 0.45 s, not 0.7 s.

--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,7 +18,7 @@
 	// holdWait is how long a worker may hold back its answer until a run ends.
 	holdWait = time.Second
 	// holdTimeout bounds the delivery of a hold and its answer.
-	holdTimeout = 700 * time.Millisecond
+	holdTimeout = 450 * time.Millisecond
 	// holdPause is the pause after a hold without an answer.
 	holdPause = 150 * time.Millisecond
 	// gonePause is the pause before a worker is asked again after another one has answered in its place.
@@ -35,6 +36,11 @@
 	done   chan struct{}
 	// acked wakes the link after ends were recorded.
 	acked chan struct{}
+	// probes makes the link ask at once, without waiting for an end.
+	probes chan struct{}
+
+	// probed is set when a probe has ended the last hold.
+	probed atomic.Bool
 
 	mu sync.Mutex
 	// seen is the number of the last end that was recorded.
@@ -55,7 +61,7 @@
 	ctx, cancel := context.WithCancel(t.role.Context())
 	l := &link{
 		term: t, info: info, worker: t.config.Dialer.Worker(info), cancel: cancel,
-		done: make(chan struct{}), acked: make(chan struct{}, 1),
+		done: make(chan struct{}), acked: make(chan struct{}, 1), probes: make(chan struct{}, 1),
 	}
 	go l.run(ctx)
 	return l
@@ -107,9 +113,12 @@
 	if !l.isSilent() {
 		hold.Until = l.until(sent)
 	}
-	call, cancel := context.WithTimeout(ctx, hold.Wait+holdTimeout)
-	defer cancel()
-	held, err := l.worker.Hold(call, hold)
+	held, err := l.ask(ctx, hold)
+	if err != nil && hold.Wait > 0 && l.wasProbed() && ctx.Err() == nil {
+		hold.Wait = 0
+		sent = time.Now()
+		held, err = l.ask(ctx, hold)
+	}
 	l.setSilent(err != nil)
 	if err == nil {
 		l.readClock(held.Clock, held.Incarnation, time.Now())
@@ -117,6 +126,44 @@
 	return held, sent, err
 }
 
+// ask sends a hold; a probe ends one that waits.
+func (l *link) ask(ctx context.Context, hold runner.Hold) (runner.Held, error) {
+	call, cancel := context.WithTimeout(ctx, hold.Wait+holdTimeout)
+	defer cancel()
+	if hold.Wait == 0 {
+		return l.worker.Hold(call, hold)
+	}
+	l.probed.Store(false)
+	select {
+	case <-l.probes:
+	default:
+	}
+	finished := make(chan struct{})
+	defer close(finished)
+	go func() {
+		select {
+		case <-finished:
+		case <-l.probes:
+			l.probed.Store(true)
+			cancel()
+		}
+	}()
+	return l.worker.Hold(call, hold)
+}
+
+// wasProbed tells whether a probe has ended the last hold.
+func (l *link) wasProbed() bool {
+	return l.probed.Load()
+}
+
+// Probe makes the link ask at once whether the worker answers.
+func (l *link) Probe() {
+	select {
+	case l.probes <- struct{}{}:
+	default:
+	}
+}
+
 // until returns when a lease that is renewed now ends on the worker's clock, and notes the renewal. It returns 0 until
 // the worker's clock is known.
 func (l *link) until(now time.Time) runner.WorkerTime {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnstack/core/domain"
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
@@ -24,6 +25,8 @@
 	retryPause = 100 * time.Millisecond
 	// eventBuffer is the number of events that may wait for the control goroutine.
 	eventBuffer = 1024
+	// probeInterval is the least time between two rounds of questions out of turn to the workers of a failure domain.
+	probeInterval = 2 * time.Second
 	// forgetInterval is the time between two removals of old jobs.
 	forgetInterval = 5 * time.Second
 )
@@ -45,7 +48,9 @@
 	// observed counts the observations; covered is the count that the changes in flight or stored contain.
 	observed, covered uint64
 	acks              []ack
-	lastForget        time.Time
+	// probed is when the workers of a failure domain were last asked out of turn.
+	probed     map[domain.Name]time.Time
+	lastForget time.Time
 	// work counts the goroutines of the term.
 	work sync.WaitGroup
 }
@@ -60,7 +65,7 @@
 func newTerm(config Config, role *election.Role) *term {
 	return &term{
 		config: config, role: role, events: make(chan event, eventBuffer),
-		links: map[endpoint.Name]*link{}, revisions: map[graph.ID]store.Revision{},
+		probed: map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[graph.ID]store.Revision{},
 	}
 }
 
@@ -205,7 +210,7 @@
 	case workerHeld:
 		t.observe(e, now)
 	case workerSilent:
-		t.planner.Answered(e.worker, false)
+		t.silent(e.worker, now)
 	case workerGone:
 		t.config.Log.Info("worker gone", "worker", e.worker)
 		t.planner.Gone(e.worker, now)
@@ -227,6 +232,25 @@
 	}
 }
 
+// silent takes a worker as not answering, and asks the others of its failure domain at once, as they may be cut off too.
+func (t *term) silent(name endpoint.Name, now time.Time) {
+	t.planner.Answered(name, false)
+	l, linked := t.links[name]
+	if !linked {
+		return
+	}
+	failureDomain := l.info.FailureDomain
+	if now.Sub(t.probed[failureDomain]) < probeInterval {
+		return
+	}
+	t.probed[failureDomain] = now
+	for _, other := range t.links {
+		if other != l && other.info.FailureDomain == failureDomain {
+			other.Probe()
+		}
+	}
+}
+
 func (t *term) accept(e jobsAccepted, now time.Time) {
 	for _, job := range e.jobs {
 		if !t.planner.Has(job.ID) {
