--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -38,6 +38,7 @@
 	switch kind {
 	case EndDone:
 		m.worker.health.succeeded()
+		p.observePace(m, now)
 		p.speeds.observe(m.unit.job.Queue, m.unit.spec().Estimate, now.Sub(m.unit.started))
 	case EndFailed:
 		m.worker.health.failed(m.unit.job.ID, now)
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -25,6 +25,8 @@
 	canceling              bool
 	// remaining counts the units that have not finished.
 	remaining int
+	// durations holds how long the tasks of each step took.
+	durations map[stepKey]*durations
 }
 
 // Submit adds an accepted job. A job that is known is left as it is.
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -32,6 +32,26 @@
 
 func (p *Planner) placeIn(u *unit, now time.Time, free room) []*worker {
 	candidates := p.candidates(u, now, free)
+	if u.job.queue.Priority == 0 {
+		if places := p.placeAmong(u, now, fast(candidates)); places != nil {
+			return places
+		}
+	}
+	return p.placeAmong(u, now, candidates)
+}
+
+// fast returns the candidates that are not known to be slow.
+func fast(candidates []candidate) []candidate {
+	var list []candidate
+	for _, c := range candidates {
+		if !c.worker.pace.slow() {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+func (p *Planner) placeAmong(u *unit, now time.Time, candidates []candidate) []*worker {
 	step := u.spec()
 	if !p.enough(candidates, u.size()) {
 		return nil
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -66,6 +66,7 @@
 func (p *Planner) start(u *unit, now time.Time) {
 	u.phase = running
 	u.started = now
+	u.resumed = u.checkpoint != ""
 	for _, m := range u.members {
 		m.percent = -1
 		m.percentSince = now
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -48,6 +48,8 @@
 	since time.Time
 	// started is when the newest run was ordered.
 	started time.Time
+	// resumed is set when the newest run began at a checkpoint.
+	resumed bool
 	// recordVersion is the job version that holds the newest placement.
 	recordVersion uint64
 }
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -25,6 +25,7 @@
 	leaving resources.Amounts
 	members map[*member]struct{}
 	health  health
+	pace    pace
 }
 
 // free returns what can be planned with once what is being stopped has ended.
