--- a/core/planner/pace.go
+++ b/core/planner/pace.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"time"
 )
 
@@ -9,8 +10,12 @@
 	paceSamples = 2
 	// paceSiblings is the number of tasks of a step that must have finished before they tell what is usual.
 	paceSiblings = 4
-	// slowPace is the time that a slow worker's tasks take, against that of their siblings.
-	slowPace = 1.12
+	// slowExcess is the least excess of time, against their siblings, that makes a worker slow.
+	slowExcess = 0.1
+	// usualSpread is the standard deviation of the samples until enough are known.
+	usualSpread = 0.2
+	// spreadSamples is the number of samples from which their spread is known.
+	spreadSamples = 20
 	// paceRate is the least weight of a new sample.
 	paceRate = 0.15
 )
@@ -29,8 +34,31 @@
 	p.ratio += max(paceRate, 1/float64(p.samples+1)) * (ratio - p.ratio)
 }
 
-func (p *pace) slow() bool {
-	return p.samples >= paceSamples && p.ratio > slowPace
+// spread is the standard deviation of all workers' samples around 1.
+type spread struct {
+	squares float64
+	samples int
+}
+
+func (s *spread) observe(ratio float64) {
+	s.squares += (ratio - 1) * (ratio - 1)
+	s.samples++
+}
+
+func (s *spread) deviation() float64 {
+	if s.samples < spreadSamples {
+		return usualSpread
+	}
+	return math.Sqrt(s.squares / float64(s.samples))
+}
+
+// isSlow tells whether a worker's tasks take longer by more than the error of their mean.
+func (p *Planner) isSlow(w *worker) bool {
+	if w.pace.samples < paceSamples {
+		return false
+	}
+	doubt := p.spread.deviation() / math.Sqrt(float64(w.pace.samples))
+	return w.pace.ratio > 1+max(slowExcess, doubt)
 }
 
 // durations holds how long the finished tasks of a step took.
@@ -57,7 +85,9 @@
 	}
 	took := now.Sub(u.started)
 	if d.count >= paceSiblings {
-		m.worker.pace.observe(float64(took) * float64(d.count) / float64(d.sum))
+		ratio := float64(took) * float64(d.count) / float64(d.sum)
+		m.worker.pace.observe(ratio)
+		p.spread.observe(ratio)
 	}
 	d.sum += took
 	d.count++
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -33,7 +33,7 @@
 func (p *Planner) placeIn(u *unit, now time.Time, free room) []*worker {
 	candidates := p.candidates(u, now, free)
 	if u.job.queue.Priority == 0 {
-		if places := p.placeAmong(u, now, fast(candidates)); places != nil {
+		if places := p.placeAmong(u, now, p.fast(candidates)); places != nil {
 			return places
 		}
 	}
@@ -41,10 +41,10 @@
 }
 
 // fast returns the candidates that are not known to be slow.
-func fast(candidates []candidate) []candidate {
+func (p *Planner) fast(candidates []candidate) []candidate {
 	var list []candidate
 	for _, c := range candidates {
-		if !c.worker.pace.slow() {
+		if !p.isSlow(c.worker) {
 			list = append(list, c)
 		}
 	}
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -51,6 +51,7 @@
 	speeds  *speeds
 	// headroom is what is kept free for urgent jobs.
 	headroom headroom
+	spread   spread
 }
 
 // New returns a planner without workers and jobs.
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Keep ends the connections to VMs that are not among the members.
+// Keep implements Dialer.
 func (p *Pool) Keep(members []Member) {
 	wanted := map[netip.AddrPort]bool{}
 	for _, m := range members {
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -77,4 +77,6 @@
 // Dialer finds the connection to a VM.
 type Dialer interface {
 	Peer(address netip.AddrPort) Peer
+	// Keep ends the connections to VMs that are not among the members.
+	Keep(members []Member)
 }
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -67,7 +67,7 @@
 		all = append(all, member)
 	}
 	n.members.replace(all)
-	n.pool.Keep(all)
+	n.config.Peers.Keep(all)
 }
 
 // push passes new configurations on to the other VMs.
@@ -164,7 +164,7 @@
 	h.Policy = snapshot
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	known, err := s.node.pool.Peer(other.Address).Exchange(ctx, h)
+	known, err := s.node.config.Peers.Peer(other.Address).Exchange(ctx, h)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy[other] = false
--- /dev/null
+++ b/io/site/fleet_test.go
@@ -0,0 +1,342 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"auburnstack/core/answer"
+	"auburnstack/core/domain"
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/planner"
+	"auburnstack/core/policy"
+	"auburnstack/core/resources"
+	"auburnstack/core/roster"
+	"auburnstack/core/vm"
+	"auburnstack/io/relay"
+	"auburnstack/io/store"
+	"auburnstack/standin/memstore"
+	"auburnstack/standin/memworker"
+)
+
+const (
+	testKey     = "secret"
+	testHost    = "site.example"
+	urgentQueue = "/urgent/"
+	batchQueue  = "/batch/"
+)
+
+// testCodec reads records that hold the product's own types as JSON.
+type testCodec struct{ prefix string }
+
+func (c testCodec) Prefix() string { return c.prefix }
+func (c testCodec) Key() string    { return "op/config" }
+
+func (c testCodec) Decode(item store.Item) (roster.Worker, error) {
+	var w roster.Worker
+	err := json.Unmarshal(item.Value, &w)
+	return w, errors.WithStack(err)
+}
+
+type policyCodec struct{ testCodec }
+
+func (c policyCodec) Decode(items map[string]store.Item) (*policy.Policy, error) {
+	p := &policy.Policy{}
+	err := json.Unmarshal(items[c.Key()].Value, p)
+	return p, errors.WithStack(err)
+}
+
+type jobCodec struct{}
+
+func (jobCodec) DecodeJob(body []byte) (*graph.Job, error) {
+	job := &graph.Job{}
+	err := json.Unmarshal(body, job)
+	return job, errors.WithStack(err)
+}
+
+// network connects the nodes of a test site.
+type network struct {
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*Node
+	// cut holds the VMs that no other VM reaches.
+	cut map[netip.AddrPort]bool
+}
+
+func (n *network) reach(from, to netip.AddrPort) *Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[from] || n.cut[to] {
+		return nil
+	}
+	return n.nodes[to]
+}
+
+func (n *network) set(address netip.AddrPort, node *Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[address] = node
+}
+
+func (n *network) setCut(address netip.AddrPort, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+// dialer is a VM's relay.Dialer.
+type dialer struct {
+	network *network
+	self    netip.AddrPort
+}
+
+func (d dialer) Keep([]relay.Member) {}
+
+func (d dialer) Peer(address netip.AddrPort) relay.Peer {
+	return &link{dialer: d, to: address}
+}
+
+type link struct {
+	dialer
+	to netip.AddrPort
+}
+
+const peerLatency = time.Millisecond
+
+func (l *link) node(ctx context.Context) (*Node, error) {
+	node := l.network.reach(l.self, l.to)
+	if node == nil {
+		<-ctx.Done()
+		return nil, relay.ErrUnanswered
+	}
+	time.Sleep(peerLatency)
+	return node, nil
+}
+
+func (l *link) Exchange(ctx context.Context, h relay.Heartbeat) (relay.Known, error) {
+	node, err := l.node(ctx)
+	if err != nil {
+		return relay.Known{}, err
+	}
+	return node.Exchange(h), nil
+}
+
+func (l *link) Handle(ctx context.Context, r relay.Request) (answer.Answer, error) {
+	node, err := l.node(ctx)
+	if err != nil {
+		return answer.Answer{}, err
+	}
+	return node.Handle(ctx, r), nil
+}
+
+func (l *link) Ask(ctx context.Context, job graph.ID) (relay.JobState, error) {
+	node, err := l.node(ctx)
+	if err != nil {
+		return relay.JobState{}, err
+	}
+	return node.Ask(ctx, job), nil
+}
+
+// fleet is a site in one process: a store, workers and VMs, in virtual time.
+type fleet struct {
+	t       *testing.T
+	store   *memstore.Service
+	workers *memworker.Fleet
+	names   []endpoint.Name
+	network *network
+	vms     []*testVM
+	log     hclog.Logger
+	begun   time.Time
+	serial  int
+}
+
+// testVM is a VM that can be killed and started again.
+type testVM struct {
+	fleet   *fleet
+	name    vm.Name
+	address netip.AddrPort
+	client  *memstore.Client
+	node    *Node
+	lives   int
+}
+
+func newFleet(t *testing.T, seed uint64, vms, workers int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, store: memstore.New(seed), workers: memworker.New(seed), begun: time.Now(),
+		network: &network{nodes: map[netip.AddrPort]*Node{}, cut: map[netip.AddrPort]bool{}},
+		log:     hclog.New(&hclog.LoggerOptions{Output: io.Discard}),
+	}
+	f.putPolicy(1)
+	for i := range workers {
+		name := endpoint.Name(fmt.Sprintf("worker-%02d", i))
+		f.names = append(f.names, name)
+		f.workers.Add(roster.Worker{
+			Name: name, Service: "assay", FailureDomain: domain.Name([]string{"north", "south"}[i%2]),
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80),
+			Capacity: resources.Amounts{CPU: 8000, Memory: 8000, Accelerators: 8},
+			Rack:     endpoint.Rack(fmt.Sprintf("rack-%d", i%2)),
+		})
+		f.register(name)
+	}
+	for i := range vms {
+		v := &testVM{
+			fleet: f, name: vm.Name(fmt.Sprintf("vm-%d", i)),
+			address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000), client: f.store.Client(),
+		}
+		f.vms = append(f.vms, v)
+		v.start()
+	}
+	return f
+}
+
+func (f *fleet) register(name endpoint.Name) {
+	value, err := json.Marshal(f.workers.Info(name))
+	qt.Assert(f.t, err, qt.IsNil)
+	f.store.Put("servers/"+string(name), value)
+}
+
+func (f *fleet) putPolicy(version policy.Version) {
+	value, err := json.Marshal(policy.Policy{
+		Version: version,
+		Queues: []policy.Queue{
+			{Name: "urgent", Host: testHost, Prefix: urgentQueue, Service: "assay", MaxAttempts: 3, Stretch: 2},
+			{Name: "batch", Host: testHost, Prefix: batchQueue, Service: "assay", Priority: 2, MaxAttempts: 3, Stretch: 3},
+		},
+		Accounts: []policy.Account{{Name: "refiner", Keys: []policy.Key{policy.Digest(testKey)}, Guaranteed: 32}},
+	})
+	qt.Assert(f.t, err, qt.IsNil)
+	f.store.Put("op/config", value)
+}
+
+func (v *testVM) start() {
+	f := v.fleet
+	v.lives++
+	v.node = New(Config{
+		Name: v.name, Incarnation: fmt.Sprintf("%s-%d", v.name, v.lives), Address: v.address,
+		Peers: dialer{network: f.network, self: v.address}, Store: v.client, Workers: f.workers,
+		Codecs: Codecs{Policy: policyCodec{testCodec{"op/"}}, Roster: testCodec{"servers/"}, Jobs: jobCodec{}},
+		Planner: planner.Settings{
+			LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, RemoteFactor: 3,
+			EarlyStart: 250 * time.Millisecond, RetainFinal: time.Hour,
+		},
+		Clock:   func() time.Duration { return time.Since(f.begun) },
+		Metrics: metrics.NewSet(), Log: f.log,
+	})
+	f.network.set(v.address, v.node)
+}
+
+// kill ends a VM without a word to anybody: it is cut off first, so that nothing it does while it closes is seen.
+func (v *testVM) kill() {
+	v.isolate(true)
+	v.fleet.network.set(v.address, nil)
+	v.node.Close()
+}
+
+// restart starts a killed VM again.
+func (v *testVM) restart() {
+	v.isolate(false)
+	v.start()
+}
+
+// isolate cuts a VM off from the store and from the other VMs, or heals the cut.
+func (v *testVM) isolate(cut bool) {
+	v.client.SetFaults(memstore.Faults{Down: cut})
+	v.fleet.network.setCut(v.address, cut)
+}
+
+// leader returns the VM that leads, or nil.
+func (f *fleet) leader() *testVM {
+	for _, v := range f.vms {
+		if _, leading := v.node.coordinator.Pending(); leading {
+			return v
+		}
+	}
+	return nil
+}
+
+// submit hands a job in at the VMs in turn until one accepts it, and returns its ID.
+func (f *fleet) submit(queue string, steps []graph.Step, plan memworker.Plan) graph.ID {
+	f.t.Helper()
+	f.serial++
+	id := graph.ID(fmt.Sprintf("%016x", f.serial))
+	plan.Needs = steps[0].Needs
+	f.workers.SetPlan(id, plan)
+	body, err := json.Marshal(graph.Job{Steps: steps})
+	qt.Assert(f.t, err, qt.IsNil)
+	for try := range 60 {
+		v := f.vms[(f.serial+try)%len(f.vms)]
+		a := v.serve("POST", queue+string(id), body)
+		if a.Kind == answer.Done {
+			return id
+		}
+		time.Sleep(max(a.RetryAfter, 200*time.Millisecond))
+	}
+	f.t.Fatalf("job %s was never accepted", id)
+	return ""
+}
+
+func (v *testVM) serve(method, path string, body []byte) answer.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return v.node.Serve(ctx, relay.Request{Method: method, Host: testHost, Path: path, Key: testKey, Body: body})
+}
+
+// state asks the VMs in turn for the state of a job.
+func (f *fleet) state(queue string, id graph.ID) graph.State {
+	for _, v := range f.vms {
+		if a := v.serve("GET", queue+string(id), nil); a.Kind == answer.State {
+			return a.State
+		}
+	}
+	return ""
+}
+
+// awaitAll waits until all jobs have a state, and returns those that have not after a time.
+func (f *fleet) awaitAll(queue string, jobs []graph.ID, want graph.State, limit time.Duration) []graph.ID {
+	deadline := time.Now().Add(limit)
+	for {
+		var missing []graph.ID
+		for _, id := range jobs {
+			if f.state(queue, id) != want {
+				missing = append(missing, id)
+			}
+		}
+		if len(missing) == 0 || time.Now().After(deadline) {
+			return missing
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		v.isolate(false)
+		v.node.Close()
+	}
+}
+
+// checkNothingViolated reports what the workers have seen that must never happen.
+func (f *fleet) checkNothingViolated() {
+	f.t.Helper()
+	qt.Assert(f.t, strings.Join(f.workers.Violations(), "\n"), qt.Equals, "")
+}
+
+func oneStep(tasks int, gang bool, accelerators int64) []graph.Step {
+	return []graph.Step{{
+		Tasks: tasks, Gang: gang, Estimate: 2 * time.Second,
+		Needs: resources.Amounts{CPU: 1000, Memory: 1000, Accelerators: accelerators},
+	}}
+}
+
--- /dev/null
+++ b/io/site/matrix_test.go
@@ -0,0 +1,190 @@
+package site
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/graph"
+	"auburnstack/standin/memstore"
+	"auburnstack/standin/memworker"
+)
+
+// settleTime is how long after the last fault everything that was accepted may take to finish: a lease on a worker that is
+// not heard (10.35 s), the takeover, and the work.
+const settleTime = 40 * time.Second
+
+// TestFaultMatrix plays each row of testdata/faults.txt: faults at times of a site that runs gangs and independent tasks. After
+// the last fault all accepted jobs must finish, no task may have run twice at a time or after its end, and no worker may have
+// been given more than it has.
+func TestFaultMatrix(t *testing.T) {
+	file, err := os.Open("testdata/faults.txt")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, faults, _ := strings.Cut(line, ":")
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playFaults(t, strings.TrimSpace(faults), seed) })
+			})
+		}
+	}
+	qt.Assert(t, lines.Err(), qt.IsNil)
+}
+
+func playFaults(t *testing.T, faults string, seed uint64) {
+	f := newFleet(t, seed, 4, 8)
+	defer f.close()
+	time.Sleep(2 * time.Second)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, fault := range strings.Split(faults, ";") {
+			f.inject(strings.Fields(fault))
+		}
+	}()
+	var urgent, batch []graph.ID
+	for range 6 {
+		urgent = append(urgent, f.submit(urgentQueue, oneStep(3, true, 4), memworker.Plan{Work: 2 * time.Second, Gang: 3}))
+		batch = append(batch, f.submit(batchQueue, oneStep(5, false, 1), memworker.Plan{Work: 3 * time.Second}))
+		time.Sleep(time.Second)
+	}
+	<-done
+	qt.Check(t, f.awaitAll(urgentQueue, urgent, graph.Complete, settleTime), qt.HasLen, 0)
+	qt.Check(t, f.awaitAll(batchQueue, batch, graph.Complete, settleTime), qt.HasLen, 0)
+	for _, id := range urgent {
+		qt.Check(t, f.workers.Done(graph.TaskID{Job: id}), qt.IsTrue)
+	}
+	for _, id := range batch {
+		for i := range 5 {
+			qt.Check(t, f.workers.Done(graph.TaskID{Job: id, Index: i}), qt.IsTrue)
+		}
+	}
+	f.checkNothingViolated()
+}
+
+// inject carries out one fault: a word, then its figures. "wait" pauses the list of faults.
+func (f *fleet) inject(words []string) {
+	switch words[0] {
+	case "wait":
+		time.Sleep(f.seconds(words[1]))
+	case "kill-leader":
+		v := f.awaitLeader()
+		v.kill()
+		time.Sleep(f.seconds(words[1]))
+		v.restart()
+	case "kill-all":
+		for _, v := range f.vms {
+			v.kill()
+		}
+		time.Sleep(f.seconds(words[1]))
+		for _, v := range f.vms {
+			v.restart()
+		}
+	case "stop-leader":
+		v := f.awaitLeader()
+		v.node.Close()
+		v.start()
+	case "cut-leader":
+		v := f.awaitLeader()
+		v.isolate(true)
+		time.Sleep(f.seconds(words[1]))
+		v.isolate(false)
+	case "refuse-leader":
+		v := f.awaitLeader()
+		v.client.SetFaults(memstore.Faults{Refuse: true})
+		time.Sleep(f.seconds(words[1]))
+		v.client.SetFaults(memstore.Faults{})
+	case "store-down":
+		f.store.SetFaults(memstore.Faults{Down: true})
+		time.Sleep(f.seconds(words[1]))
+		f.store.SetFaults(memstore.Faults{})
+	case "store-slow":
+		f.store.SetFaults(memstore.Faults{Slow: 240 * time.Millisecond})
+		time.Sleep(f.seconds(words[1]))
+		f.store.SetFaults(memstore.Faults{})
+	case "replies-lost":
+		f.store.SetFaults(memstore.Faults{LoseReplies: 0.4})
+		time.Sleep(f.seconds(words[1]))
+		f.store.SetFaults(memstore.Faults{})
+	case "writes-late":
+		f.store.SetFaults(memstore.Faults{LateWrites: 0.3})
+		time.Sleep(f.seconds(words[1]))
+		f.store.SetFaults(memstore.Faults{})
+	case "compact":
+		f.store.SetDeaf(true)
+		time.Sleep(time.Second)
+		f.store.Compact()
+		f.store.SetDeaf(false)
+	default:
+		f.injectWorkers(words)
+	}
+}
+
+func (f *fleet) injectWorkers(words []string) {
+	switch words[0] {
+	case "cut-workers":
+		for _, name := range f.names[:3] {
+			f.workers.Cut(name, true)
+		}
+		time.Sleep(f.seconds(words[1]))
+		for _, name := range f.names[:3] {
+			f.workers.Cut(name, false)
+		}
+	case "reborn-workers":
+		for _, name := range f.names[:2] {
+			f.workers.Reborn(name)
+			f.register(name)
+		}
+	case "reborn-behind-cut":
+		for _, name := range f.names[:2] {
+			f.workers.Cut(name, true)
+			f.workers.Reborn(name)
+		}
+		time.Sleep(f.seconds(words[1]))
+		for _, name := range f.names[:2] {
+			f.workers.Cut(name, false)
+			f.register(name)
+		}
+	case "crash-worker":
+		f.workers.Crash(f.names[0])
+		f.store.Remove("servers/" + string(f.names[0]))
+	case "hang-worker":
+		f.workers.Hang(f.names[1])
+	case "fail-worker":
+		f.workers.FailAll(f.names[2])
+	case "orders-late":
+		f.workers.SetLate(0.2)
+		time.Sleep(f.seconds(words[1]))
+		f.workers.SetLate(0)
+	default:
+		f.t.Errorf("unknown fault %q", words[0])
+	}
+}
+
+func (f *fleet) seconds(word string) time.Duration {
+	n, err := strconv.ParseFloat(word, 64)
+	qt.Check(f.t, err, qt.IsNil)
+	return time.Duration(n * float64(time.Second))
+}
+
+func (f *fleet) awaitLeader() *testVM {
+	for {
+		if v := f.leader(); v != nil {
+			return v
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -41,9 +40,10 @@
 	Name vm.Name
 	// Incarnation tells apart the processes of one VM.
 	Incarnation string
-	// Listener takes the calls of other VMs.
-	Listener net.Listener
-	Address  netip.AddrPort
+	// Address is where other VMs reach this one.
+	Address netip.AddrPort
+	// Peers finds the other VMs.
+	Peers relay.Dialer
 	// Seeds are addresses of some VMs; any of them may be outdated.
 	Seeds   []netip.AddrPort
 	Store   store.Store
@@ -60,24 +60,22 @@
 	config      Config
 	store       *store.Monitor
 	self        relay.Member
-	pool        *relay.Pool
 	watcher     *policywatch.Watcher
 	coordinator *coordinator.Coordinator
 	candidate   *election.Candidate
 	intake      *intake.Intake
 	members     *members
-	server      *relay.Server
 	registrar   *registrar
 	cancel      context.CancelFunc
 	loops       sync.WaitGroup
 }
 
-// New starts a node.
+// New starts a node. Whoever starts it lets it answer other VMs, as it is a relay.Handler.
 func New(config Config) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		config: config, self: relay.Member{Name: config.Name, Address: config.Address},
-		pool: relay.NewPool(), cancel: cancel,
+		cancel: cancel,
 	}
 	n.store = store.NewMonitor(config.Store)
 	n.members = newMembers(n.self, config.Seeds)
@@ -95,7 +93,6 @@
 	n.intake = intake.New(n.store, config.Codecs.Jobs, n.watcher, n,
 		intake.NewMetrics(config.Metrics), config.Log)
 	n.registrar = newRegistrar(n.store, n.self, config.Log)
-	n.server = relay.NewServer(config.Listener, n)
 	n.candidate = election.New(n.store, election.Leader{
 		Name: config.Name, Address: config.Address, Incarnation: config.Incarnation,
 	}, config.Clock, config.Log, election.Callbacks{
@@ -117,8 +114,6 @@
 	n.cancel()
 	n.loops.Wait()
 	n.watcher.Close()
-	n.server.Close()
-	n.pool.Close()
 }
 
 // Resign gives the lead to another VM, and stands for it no more.
@@ -212,7 +207,7 @@
 	if !known || leader.Address == n.self.Address {
 		return relay.JobState{}, false
 	}
-	state, err := n.pool.Peer(leader.Address).Ask(ctx, id)
+	state, err := n.config.Peers.Peer(leader.Address).Ask(ctx, id)
 	return state, err == nil && state.Leading
 }
 
@@ -228,7 +223,7 @@
 func (n *Node) Peers() []relay.Peer {
 	var peers []relay.Peer
 	for _, address := range n.members.relays() {
-		peers = append(peers, n.pool.Peer(address))
+		peers = append(peers, n.config.Peers.Peer(address))
 	}
 	return peers
 }
