--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -54,6 +54,7 @@
 		}
 	}
 	u.phase = finished
+	u.finishedAt = now
 	u.job.remaining--
 	if u.job.state.Final() {
 		p.touch(u.job)
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -6,8 +6,14 @@
 	"auburnstack/core/roster"
 )
 
-// stallLimit is how long a running task may show no progress.
-const stallLimit = 2500 * time.Millisecond
+const (
+	// stallLimit is how long a running task may show no progress.
+	stallLimit = 2500 * time.Millisecond
+	// leftoverLimit is how long the other members of a gang that has finished may run on.
+	leftoverLimit = time.Second
+	// vacateLimit is how long a placement waits for the room that stops are to make.
+	vacateLimit = 3 * time.Second
+)
 
 // Plan returns the actions that the events since the last call have made possible. Placements become visible as
 // changes that have to be stored; their starts are returned by a later call.
@@ -15,6 +21,7 @@
 	p.ExpireLeases(now)
 	p.unblockDue(now)
 	p.stopStalled(now)
+	p.stopLeftovers(now)
 	if p.changed {
 		p.changed = false
 		p.launchVacated(now)
@@ -60,6 +67,7 @@
 		delete(p.waiting, u)
 		u.reserve(places)
 		u.phase = vacating
+		u.placed = now
 		p.planned[u] = struct{}{}
 		p.launchIfVacated(u)
 	}
@@ -67,6 +75,9 @@
 
 func (p *Planner) launchVacated(now time.Time) {
 	for _, u := range p.sortedPlanned() {
+		if now.Sub(u.placed) > vacateLimit {
+			p.suspendFull(u, now)
+		}
 		if !p.placesHold(u, now) {
 			p.withdraw(u)
 			p.wait(u, now)
@@ -95,6 +106,27 @@
 	return true
 }
 
+// suspendFull suspends the workers of a placement on which stops have not made room in time.
+func (p *Planner) suspendFull(u *unit, now time.Time) {
+	for _, m := range u.members {
+		if !u.spec().Needs.Fits(m.worker.freeNow()) && !m.worker.health.suspended(now) {
+			m.worker.health.suspend(now)
+		}
+	}
+}
+
+// stopLeftovers stops the members of gangs that have finished elsewhere.
+func (p *Planner) stopLeftovers(now time.Time) {
+	for _, w := range p.order {
+		for _, m := range w.sortedMembers() {
+			u := m.unit
+			if u.phase == finished && m.state == active && now.Sub(u.finishedAt) > leftoverLimit {
+				p.actions = append(p.actions, Stop{Worker: w.Name, Task: u.task(m.index), Run: u.run, Reason: NotWanted})
+			}
+		}
+	}
+}
+
 // launchIfVacated lets a placement be stored once there is room for all of its tasks.
 func (p *Planner) launchIfVacated(u *unit) {
 	needs := u.spec().Needs
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -48,6 +48,8 @@
 	since time.Time
 	// started is when the newest run was ordered.
 	started time.Time
+	// placed is when the newest placement was made; finishedAt is when the unit finished.
+	placed, finishedAt time.Time
 	// resumed is set when the newest run began at a checkpoint.
 	resumed bool
 	// recordVersion is the job version that holds the newest placement.
--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -82,6 +82,8 @@
 		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: r.key, Revision: r.expected})
 		transaction.Puts = append(transaction.Puts, store.Put{Key: r.key, Value: r.value})
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	revision, err := t.config.Store.Commit(ctx, transaction)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
@@ -179,6 +181,8 @@
 }
 
 func (t *term) remove(ctx context.Context, keys []string) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	_, err := t.config.Store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{t.role.Condition()}, Removes: keys,
 	})
--- a/io/coordinator/inbox.go
+++ b/io/coordinator/inbox.go
@@ -31,7 +31,7 @@
 // watchInbox follows changes until a call fails, and returns the revision to continue from.
 func (t *term) watchInbox(ctx context.Context, at store.Revision) (store.Revision, error) {
 	for {
-		changes, err := t.config.Store.Watch(ctx, InboxPrefix, at, inboxWait)
+		changes, err := t.waitInbox(ctx, at)
 		if err != nil {
 			return at, err
 		}
@@ -46,7 +46,15 @@
 	}
 }
 
+func (t *term) waitInbox(ctx context.Context, at store.Revision) (store.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, inboxWait+storeTimeout)
+	defer cancel()
+	return t.config.Store.Watch(ctx, InboxPrefix, at, inboxWait)
+}
+
 func (t *term) rereadInbox(ctx context.Context, at store.Revision) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	page, err := t.config.Store.Range(ctx, InboxPrefix)
 	if err != nil {
 		return at, err
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -21,6 +21,8 @@
 const (
 	// tick is the time between two looks at what only time changes.
 	tick = 100 * time.Millisecond
+	// storeTimeout bounds a call to the store, beyond the time for which a watch waits.
+	storeTimeout = time.Second
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 100 * time.Millisecond
 	// eventBuffer is the number of events that may wait for the control goroutine.
@@ -119,6 +121,8 @@
 }
 
 func (t *term) read(ctx context.Context) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	inbox, err := t.config.Store.Range(ctx, InboxPrefix)
 	if err != nil {
 		return 0, err
@@ -283,6 +287,9 @@
 
 // step lets the planner decide and carries out what it decided.
 func (t *term) step() {
+	if !t.role.Valid() {
+		return
+	}
 	now := time.Now()
 	for name, l := range t.links {
 		if sent := l.lastSent(); !sent.IsZero() {
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -30,6 +30,8 @@
 	longOutage = 2 * time.Second
 	// retrySpread spreads the returns of callers.
 	retrySpread = 2 * time.Second
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 900 * time.Millisecond
 	// storePause is the pause between two tries of a call to the store.
 	storePause = 60 * time.Millisecond
 	// relayTimeout bounds a request that is passed on.
--- a/io/intake/show.go
+++ b/io/intake/show.go
@@ -63,5 +63,7 @@
 }
 
 func (i *Intake) get(ctx context.Context, key string) (store.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	return i.store.Get(ctx, key)
 }
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -93,7 +93,7 @@
 ) answer.Answer {
 	uncertain := false
 	for {
-		_, err := i.store.Commit(ctx, t)
+		_, err := i.tryCommit(ctx, t)
 		if err == nil {
 			return answer.Answer{Kind: answer.Done}
 		}
@@ -122,6 +122,12 @@
 	}
 }
 
+func (i *Intake) tryCommit(ctx context.Context, t store.Transaction) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return i.store.Commit(ctx, t)
+}
+
 // outdated handles a request again with the configuration that a conflict has shown.
 func (i *Intake) outdated(ctx context.Context, c *call, conflict *store.ConflictError) answer.Answer {
 	i.watcher.Learn(conflict.Item(i.watcher.Key()))
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -109,7 +109,9 @@
 
 // follow reads everything once and then watches until a call fails.
 func (w *Watcher) follow(ctx context.Context) error {
-	page, err := w.store.Range(ctx, w.codec.Prefix())
+	call, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	page, err := w.store.Range(call, w.codec.Prefix())
 	if err != nil {
 		return err
 	}
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -17,6 +17,8 @@
 const (
 	// watchWait is how long one watch waits.
 	watchWait = time.Second
+	// callTimeout bounds the delivery of a call and its answer.
+	callTimeout = time.Second
 	// gatherPause lets several heartbeats come with one watch.
 	gatherPause = 250 * time.Millisecond
 	// retryPause is the pause after a call that failed.
@@ -83,7 +85,9 @@
 }
 
 func (w *Watcher) follow(ctx context.Context) error {
-	page, err := w.store.Range(ctx, w.codec.Prefix())
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := w.store.Range(call, w.codec.Prefix())
 	if err != nil {
 		return err
 	}
@@ -91,7 +95,7 @@
 	w.publish(time.Now())
 	at := page.At
 	for {
-		changes, err := w.store.Watch(ctx, w.codec.Prefix(), at, watchWait)
+		changes, err := w.watch(ctx, at)
 		if errors.Is(err, store.ErrCompacted) {
 			return nil
 		}
@@ -112,6 +116,12 @@
 	}
 }
 
+func (w *Watcher) watch(ctx context.Context, at store.Revision) (store.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	return w.store.Watch(ctx, w.codec.Prefix(), at, watchWait)
+}
+
 // replace takes over a complete reading; what it lacks is kept for a while.
 func (w *Watcher) replace(items []store.Item, now time.Time) {
 	before := w.items
--- a/standin/memworker/worker.go
+++ b/standin/memworker/worker.go
@@ -184,7 +184,7 @@
 func (f *Fleet) Done(task graph.TaskID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.done[task]
+	return f.done[f.unitOf(task)]
 }
 
 // Started counts the runs of a task.
@@ -218,11 +218,31 @@
 // kill ends everything on a worker without a trace.
 func (w *machine) kill() {
 	for task := range w.runs {
-		w.drop(task)
+		if r := w.drop(task); r.plan.Gang > 0 {
+			w.fleet.breakGang(task, r.id)
+		}
 	}
+	w.voidEnds()
 	w.wake()
 }
 
+// voidEnds forgets the ends that nobody has taken note of: what they say does not count any more.
+func (w *machine) voidEnds() {
+	for _, e := range w.ends {
+		if e.end.Kind == planner.EndDone {
+			delete(w.fleet.done, w.fleet.unitOf(e.end.Task))
+		}
+	}
+}
+
+// unitOf returns the first task of a gang, as its end stands for all, or the task itself.
+func (f *Fleet) unitOf(task graph.TaskID) graph.TaskID {
+	if f.plans[task.Job].Gang > 0 {
+		task.Index = 0
+	}
+	return task
+}
+
 func (w *machine) wake() {
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -242,9 +262,11 @@
 
 // expire ends everything when the lease has run out.
 func (w *machine) expire() {
-	if len(w.runs) == 0 || time.Now().Before(w.lease) {
+	if w.lease.IsZero() || time.Now().Before(w.lease) {
 		return
 	}
+	w.lease = time.Time{}
+	w.voidEnds()
 	for task := range w.runs {
 		w.end(task, planner.EndLapsed)
 	}
@@ -257,7 +279,7 @@
 	w.ends = append(w.ends, numberedEnd{number: w.lastEnd, end: planner.EndedRun{Task: task, Run: r.id, Kind: kind}})
 	w.wake()
 	if kind == planner.EndDone {
-		w.fleet.done[task] = true
+		w.fleet.done[w.fleet.unitOf(task)] = true
 	}
 	if r.plan.Gang > 0 && kind != planner.EndDone && kind != planner.EndBroken {
 		w.fleet.breakGang(task, r.id)
@@ -330,11 +352,13 @@
 	if !plan.Needs.Fits(w.info.Capacity.Sub(w.used())) {
 		f.violate("%s starts on %s without room", task, w.info.Name)
 	}
-	if f.done[task] {
+	for _, other := range f.workers {
+		other.expire()
+	}
+	if f.done[f.unitOf(task)] {
 		f.violate("%s starts again after it has finished", task)
 	}
 	for _, other := range f.workers {
-		other.expire()
 		if _, runs := other.runs[task]; runs {
 			f.violate("%s starts on %s while it runs on %s", task, w.info.Name, other.info.Name)
 		}
