Planner: sessions and properties; room of unwanted runs; no repeated stops

Change: scripted sessions with golden files and a property test of the planner (random jobs, ends, silent and reborn workers, takeovers). The property found, each seen failing first: - a run that is not wanted takes room that no member accounts for: nothing starts on its worker until it has ended (a start without room after a takeover); - a finished gang's leftover was told to stop again at each decision.

--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -22,7 +22,6 @@
 	begun bool
 	// version grows with each change of the progress; storedVersion is the one that was stored last.
 	version, storedVersion uint64
-	canceling              bool
 	// remaining counts the units that have not finished.
 	remaining int
 	// durations holds how long the tasks of each step took.
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -73,9 +73,12 @@
 		p.observeEnd(w, &o.Ended[i], now)
 	}
 	seen := map[*member]struct{}{}
+	w.strangers = 0
 	for i := range o.Runs {
 		if m := p.observeRun(w, &o.Runs[i], now); m != nil {
 			seen[m] = struct{}{}
+		} else {
+			w.strangers++
 		}
 	}
 	p.concludeMissing(w, seen, o.Sent, now)
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -146,8 +146,8 @@
 	return pick(inRack(candidates, best), size)
 }
 
-// pick returns places for a number of tasks on the workers that they fill best, or nil. Racks in which little is free come
-// first, so that whole racks stay free for gangs.
+// pick returns places for a number of tasks on the workers that they fill best, or nil. Racks in which little is free
+// come first, so that whole racks stay free for gangs.
 func pick(candidates []candidate, size int) []*worker {
 	free := map[endpoint.Rack]int64{}
 	for i := range candidates {
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -115,18 +115,32 @@
 	}
 }
 
+// stalled tells whether a task that its worker has reported shows no progress.
+func (m *member) stalled(now time.Time) bool {
+	reported := m.state == active && m.unit.phase == running && m.percent >= 0 && m.percent < 100
+	return reported && now.Sub(m.percentSince) >= stallLimit
+}
+
 // stopLeftovers stops the members of gangs that have finished elsewhere.
 func (p *Planner) stopLeftovers(now time.Time) {
 	for _, w := range p.order {
 		for _, m := range w.sortedMembers() {
 			u := m.unit
-			if u.phase == finished && m.state == active && now.Sub(u.finishedAt) > leftoverLimit {
+			if u.phase == finished && m.state == active && now.Sub(later(u.finishedAt, m.stopped)) > leftoverLimit {
+				m.stopped = now
 				p.actions = append(p.actions, Stop{Worker: w.Name, Task: u.task(m.index), Run: u.run, Reason: NotWanted})
 			}
 		}
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // launchIfVacated lets a placement be stored once there is room for all of its tasks.
 func (p *Planner) launchIfVacated(u *unit) {
 	needs := u.spec().Needs
@@ -172,7 +186,7 @@
 			continue
 		}
 		for _, m := range w.sortedMembers() {
-			if m.state != active || m.unit.phase != running || m.percent >= 100 || now.Sub(m.percentSince) < stallLimit {
+			if !m.stalled(now) {
 				continue
 			}
 			w.health.failed(m.unit.job.ID, now)
--- a/core/planner/preempt.go
+++ b/core/planner/preempt.go
@@ -38,7 +38,7 @@
 	}
 	best := p.cheapestRack(u, victims, now)
 	if best == nil {
-		best = p.evict(u, victims, now, func(u *unit, free room) []*worker { return p.placeIn(u, now, free) })
+		best = p.evict(u, victims, func(u *unit, free room) []*worker { return p.placeIn(u, now, free) })
 	}
 	if best == nil {
 		return nil
@@ -68,7 +68,7 @@
 		if data := u.spec().DataRack; data != "" && endpoint.Rack(data) != rack {
 			continue
 		}
-		e := p.evict(u, inRacks[rack], now, func(u *unit, free room) []*worker {
+		e := p.evict(u, inRacks[rack], func(u *unit, free room) []*worker {
 			return pick(inRack(p.candidates(u, now, free), rack), u.size())
 		})
 		if e != nil && (best == nil || e.loss < best.loss) {
@@ -88,9 +88,10 @@
 	return racks
 }
 
-// evict gathers victims, the cheapest first, until a unit can be placed, and leaves out again those that are not needed.
+// evict gathers victims, the cheapest first, until a unit can be placed, and leaves out again those that are not
+// needed.
 func (p *Planner) evict(
-	u *unit, victims []victim, now time.Time, place func(u *unit, free room) []*worker,
+	u *unit, victims []victim, place func(u *unit, free room) []*worker,
 ) *eviction {
 	freed := map[*worker]resources.Amounts{}
 	free := func(w *worker) resources.Amounts { return w.free().Add(freed[w]) }
--- /dev/null
+++ b/core/planner/property_test.go
@@ -0,0 +1,310 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"auburnstack/core/account"
+	"auburnstack/core/domain"
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/resources"
+	"auburnstack/core/roster"
+)
+
+// world is a small site whose workers obey, end tasks, fall silent, leave and start again. It checks each start.
+type world struct {
+	t       *rapid.T
+	planner *Planner
+	now     time.Time
+	workers []*roster.Worker
+	silent  map[endpoint.Name]bool
+	// running holds what runs on each worker, stopping what was told to stop.
+	running  map[endpoint.Name]map[graph.TaskID]Start
+	stopping map[graph.TaskID]bool
+	// leases holds the end of each worker's lease by its own clock.
+	leases map[endpoint.Name]time.Time
+	done   map[graph.TaskID]bool
+	jobs   map[graph.ID]*graph.Job
+	stored map[graph.ID]graph.Progress
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1000, 0), silent: map[endpoint.Name]bool{}, stopping: map[graph.TaskID]bool{},
+		running: map[endpoint.Name]map[graph.TaskID]Start{}, leases: map[endpoint.Name]time.Time{},
+		done: map[graph.TaskID]bool{}, jobs: map[graph.ID]*graph.Job{}, stored: map[graph.ID]graph.Progress{},
+	}
+	w.planner = New(testSettings(), testPolicy())
+	for i := range 6 {
+		name := endpoint.Name(fmt.Sprintf("worker-%d", i))
+		w.workers = append(w.workers, &roster.Worker{
+			Name: name, Service: "assay", FailureDomain: domain.Name(fmt.Sprintf("domain-%d", i%2)), Incarnation: 1,
+			Capacity: resources.Amounts{CPU: 8000, Memory: 8000, Accelerators: 8},
+			Rack:     endpoint.Rack(fmt.Sprintf("rack-%d", i%3)),
+		})
+		w.running[name] = map[graph.TaskID]Start{}
+	}
+	w.list()
+	w.holdAll()
+	return w
+}
+
+func (w *world) list() {
+	var list []roster.Worker
+	for _, worker := range w.workers {
+		list = append(list, *worker)
+	}
+	w.planner.SetWorkers(list, w.now)
+}
+
+// holdAll renews the lease of each worker that answers and reports what runs there.
+func (w *world) holdAll() {
+	for _, worker := range w.workers {
+		if w.silent[worker.Name] {
+			w.planner.Answered(worker.Name, false)
+			continue
+		}
+		w.hold(worker, nil)
+	}
+}
+
+func (w *world) hold(worker *roster.Worker, ends []EndedRun) {
+	w.leases[worker.Name] = w.now.Add(testSettings().LeaseLimit)
+	w.planner.Renewed(worker.Name, w.now)
+	o := Observation{Worker: worker.Name, Incarnation: worker.Incarnation, Sent: w.now, Ended: ends}
+	for id, start := range w.running[worker.Name] {
+		o.Runs = append(o.Runs, RunningTask{Task: id, Run: start.Run, Percent: int(w.now.Sub(time.Unix(1000, 0)) / time.Millisecond % 100)})
+	}
+	w.planner.Answered(worker.Name, true)
+	w.planner.Observe(o, w.now)
+}
+
+// sleep lets time pass, in which leases of silent workers end.
+func (w *world) sleep(d time.Duration) {
+	const step = 500 * time.Millisecond
+	for ; d > 0; d -= step {
+		w.now = w.now.Add(step)
+		for name, end := range w.leases {
+			if w.silent[name] && w.now.After(end) {
+				clear(w.running[name])
+			}
+		}
+		w.endStopped()
+		w.holdAll()
+		w.planner.Tick()
+		w.decide()
+	}
+}
+
+// endStopped ends what was told to stop on workers that answer.
+func (w *world) endStopped() {
+	for _, worker := range w.workers {
+		if w.silent[worker.Name] {
+			continue
+		}
+		var ends []EndedRun
+		for id, start := range w.running[worker.Name] {
+			if w.stopping[id] {
+				delete(w.running[worker.Name], id)
+				delete(w.stopping, id)
+				ends = append(ends, EndedRun{Task: id, Run: start.Run, Kind: EndStopped})
+			}
+		}
+		w.hold(worker, ends)
+	}
+}
+
+func (w *world) decide() {
+	for {
+		actions := w.planner.Plan(w.now)
+		changes := w.planner.TakeChanges(100)
+		for _, c := range changes {
+			w.stored[c.Progress.ID] = c.Progress
+			w.planner.Stored(c, w.now)
+		}
+		for _, action := range actions {
+			switch a := action.(type) {
+			case Start:
+				w.start(a)
+			case Stop:
+				if !w.silent[a.Worker] {
+					w.stopping[a.Task] = true
+					w.planner.StopAnswered(a, w.now)
+				}
+			}
+		}
+		if len(actions) == 0 && len(changes) == 0 {
+			return
+		}
+	}
+}
+
+// start checks a start as the workers see it, and carries it out.
+func (w *world) start(a Start) {
+	if w.done[w.unit(a.Task)] {
+		w.t.Fatalf("%s starts again after it has finished", a.Task)
+	}
+	needs := w.jobs[a.Task.Job].Steps[a.Task.Step].Needs
+	var used resources.Amounts
+	for _, worker := range w.workers {
+		for id := range w.running[worker.Name] {
+			if id == a.Task {
+				w.t.Fatalf("%s starts on %s while it runs on %s", id, a.Worker, worker.Name)
+			}
+			if worker.Name == a.Worker {
+				used = used.Add(w.jobs[id.Job].Steps[id.Step].Needs)
+			}
+		}
+	}
+	for _, worker := range w.workers {
+		if worker.Name == a.Worker && !needs.Fits(worker.Capacity.Sub(used)) {
+			w.t.Fatalf("%s starts on %s without room", a.Task, a.Worker)
+		}
+	}
+	w.running[a.Worker][a.Task] = a
+	delete(w.stopping, a.Task)
+	w.planner.StartAnswered(a, Accepted, w.now)
+}
+
+// unit returns the first task of a gang, as its end stands for all, or the task itself.
+func (w *world) unit(id graph.TaskID) graph.TaskID {
+	if w.jobs[id.Job].Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	return id
+}
+
+// endTask lets a running task end, and with it the rest of its gang.
+func (w *world) endTask(kind EndKind) {
+	var all []graph.TaskID
+	for _, worker := range w.workers {
+		for id := range w.running[worker.Name] {
+			if !w.silent[worker.Name] {
+				all = append(all, id)
+			}
+		}
+	}
+	if len(all) == 0 {
+		return
+	}
+	sortTasks(all)
+	chosen := rapid.SampledFrom(all).Draw(w.t, "task")
+	for _, worker := range w.workers {
+		var ends []EndedRun
+		for id, start := range w.running[worker.Name] {
+			if id != chosen && (w.unit(id) != w.unit(chosen) || w.silent[worker.Name]) {
+				continue
+			}
+			how := kind
+			if id != chosen && kind == EndFailed {
+				how = EndBroken
+			}
+			delete(w.running[worker.Name], id)
+			delete(w.stopping, id)
+			ends = append(ends, EndedRun{Task: id, Run: start.Run, Kind: how})
+		}
+		if len(ends) > 0 {
+			w.hold(worker, ends)
+		}
+	}
+	if kind == EndDone {
+		w.done[w.unit(chosen)] = true
+	}
+}
+
+func (w *world) submit() {
+	id := graph.ID(fmt.Sprintf("job-%03d", len(w.jobs)))
+	n := int64(rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(w.t, "accelerators"))
+	job := &graph.Job{
+		ID: id, Queue: rapid.SampledFrom([]string{"urgent", "long", "batch"}).Draw(w.t, "queue"),
+		ClientAccount: account.Name(rapid.SampledFrom([]string{"gold", "silver"}).Draw(w.t, "account")), Accepted: w.now,
+		Steps: []graph.Step{{
+			Tasks: rapid.IntRange(1, 5).Draw(w.t, "tasks"), Gang: rapid.Bool().Draw(w.t, "gang"),
+			SameRack: rapid.Bool().Draw(w.t, "rack"), Estimate: 2 * time.Second,
+			Needs: resources.Amounts{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n},
+		}},
+	}
+	w.jobs[id] = job
+	w.planner.Submit(job, w.now)
+}
+
+// takeover replaces the planner by one that knows only what was stored.
+func (w *world) takeover() {
+	w.planner = New(testSettings(), testPolicy())
+	w.list()
+	for id, job := range w.jobs {
+		if progress, begun := w.stored[id]; begun {
+			w.planner.Restore(job, progress, w.now)
+		} else {
+			w.planner.Submit(job, w.now)
+		}
+	}
+	w.holdAll()
+}
+
+// unfinished returns a job that has not ended, or nothing.
+func (w *world) unfinished() graph.ID {
+	for id := range w.jobs {
+		if state, known := w.planner.State(id); !known || !state.Final() {
+			return id
+		}
+	}
+	return ""
+}
+
+func sortTasks(list []graph.TaskID) {
+	for i := range list {
+		for j := i; j > 0 && list[j].String() < list[j-1].String(); j-- {
+			list[j], list[j-1] = list[j-1], list[j]
+		}
+	}
+}
+
+// TestNothingRunsTwiceOrWithoutRoom plays random events. Whatever happens, no task starts while it runs or after it has finished,
+// and no worker is given more than it has; once nothing fails any more, every job ends.
+func TestNothingRunsTwiceOrWithoutRoom(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		worker := func() *roster.Worker { return rapid.SampledFrom(w.workers).Draw(rt, "worker") }
+		for range rapid.IntRange(1, 60).Draw(rt, "events") {
+			switch rapid.IntRange(0, 9).Draw(rt, "event") {
+			case 0, 1, 2:
+				w.submit()
+			case 3, 4:
+				w.endTask(EndDone)
+			case 5:
+				w.endTask(EndFailed)
+			case 6:
+				w.sleep(time.Duration(rapid.IntRange(1, 12).Draw(rt, "seconds")) * time.Second)
+			case 7:
+				chosen := worker()
+				w.silent[chosen.Name] = !w.silent[chosen.Name]
+			case 8:
+				chosen := worker()
+				chosen.Incarnation++
+				clear(w.running[chosen.Name])
+				w.list()
+			case 9:
+				w.takeover()
+			}
+			w.holdAll()
+			w.decide()
+		}
+		clear(w.silent)
+		for range 200 {
+			if w.unfinished() == "" {
+				return
+			}
+			w.sleep(500 * time.Millisecond)
+			for range 4 {
+				w.endTask(EndDone)
+				w.decide()
+			}
+		}
+		rt.Fatalf("%s has not ended", w.unfinished())
+	})
+}
--- /dev/null
+++ b/core/planner/script_test.go
@@ -0,0 +1,304 @@
+package planner
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/account"
+	"auburnstack/core/domain"
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/policy"
+	"auburnstack/core/resources"
+	"auburnstack/core/roster"
+)
+
+var update = flag.Bool("update", false, "write what the sessions give as the expected files")
+
+// TestSessions plays each testdata/*.session and compares every decision with the .golden file beside it, byte for byte.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	qt.Assert(t, err, qt.IsNil)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			qt.Assert(t, err, qt.IsNil)
+			got := playSession(t, string(text))
+			golden := strings.TrimSuffix(file, ".session") + ".golden"
+			if *update {
+				qt.Assert(t, os.WriteFile(golden, []byte(got), 0o600), qt.IsNil)
+			}
+			want, err := os.ReadFile(golden)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got, qt.Equals, string(want))
+		})
+	}
+}
+
+// testSettings are those of all tests of the planner.
+func testSettings() Settings {
+	return Settings{
+		LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, RemoteFactor: 3,
+		EarlyStart: 250 * time.Millisecond, RetainFinal: time.Minute,
+	}
+}
+
+// testPolicy has an urgent, a long and a batch queue, and two accounts with a guarantee.
+func testPolicy() *policy.Policy {
+	return &policy.Policy{
+		Version: 1,
+		Queues: []policy.Queue{
+			{Name: "urgent", Service: "assay", MaxAttempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond},
+			{Name: "long", Service: "assay", Priority: 1, MaxAttempts: 2, Stretch: 3, Target: time.Second},
+			{Name: "batch", Service: "assay", Priority: 2, MaxAttempts: 2, Stretch: 3, Target: 3 * time.Second},
+		},
+		Accounts: []policy.Account{{Name: "gold", Guaranteed: 16}, {Name: "silver", Guaranteed: 8}},
+	}
+}
+
+// player reads one session: a line is a command, its decisions follow it in the output.
+type player struct {
+	t       *testing.T
+	planner *Planner
+	now     time.Time
+	out     strings.Builder
+	workers map[string]*roster.Worker
+	policy  *policy.Policy
+	// running holds what was started on each worker and not ended.
+	running map[endpoint.Name]map[graph.TaskID]Start
+	percent map[graph.TaskID]int
+	stored  map[graph.ID]graph.Progress
+	jobs    map[graph.ID]*graph.Job
+}
+
+func playSession(t *testing.T, text string) string {
+	p := &player{
+		t: t, now: time.Unix(1000, 0), workers: map[string]*roster.Worker{}, policy: testPolicy(),
+		running: map[endpoint.Name]map[graph.TaskID]Start{}, percent: map[graph.TaskID]int{},
+		stored: map[graph.ID]graph.Progress{}, jobs: map[graph.ID]*graph.Job{},
+	}
+	p.planner = New(testSettings(), p.policy)
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		fmt.Fprintln(&p.out, "> "+line)
+		if words := strings.Fields(line); len(words) > 0 && !strings.HasPrefix(line, "#") {
+			p.play(words)
+			p.decide()
+		}
+	}
+	return p.out.String()
+}
+
+// play carries out one command.
+func (p *player) play(words []string) {
+	switch words[0] {
+	case "worker":
+		p.addWorker(words[1], words[2], words[3])
+	case "drain":
+		p.workers[words[1]].State = roster.Draining
+		p.list()
+	case "reborn":
+		p.workers[words[1]].Incarnation++
+		p.running[endpoint.Name(words[1])] = map[graph.TaskID]Start{}
+		p.list()
+	case "out":
+		next := *p.policy
+		next.Out = []domain.Name{domain.Name(words[1])}
+		p.planner.SetPolicy(&next)
+	case "job":
+		p.submit(words[1:])
+	case "cancel":
+		p.planner.Cancel(graph.ID(words[1]), p.now)
+	case "after":
+		p.sleep(words[1])
+	case "end":
+		p.end(words[1], words[2], words[3])
+	case "observe":
+		p.observe(endpoint.Name(words[1]), nil)
+	case "silent":
+		p.planner.Answered(endpoint.Name(words[1]), false)
+	case "progress":
+		p.percent[p.task(words[1])] = p.number(words[2])
+	case "takeover":
+		p.takeover()
+	default:
+		p.t.Fatalf("unknown command %q", words[0])
+	}
+}
+
+func (p *player) number(word string) int {
+	n, err := strconv.Atoi(word)
+	qt.Assert(p.t, err, qt.IsNil)
+	return n
+}
+
+func (p *player) task(word string) graph.TaskID {
+	task, err := graph.ParseTaskID(word)
+	qt.Assert(p.t, err, qt.IsNil)
+	return task
+}
+
+func (p *player) addWorker(name, rack, accelerators string) {
+	n := int64(p.number(accelerators))
+	p.workers[name] = &roster.Worker{
+		Name: endpoint.Name(name), Service: "assay", FailureDomain: domain.Name(rack[:1]), Incarnation: 1,
+		Capacity: resources.Amounts{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n}, Rack: endpoint.Rack(rack),
+		Labels: []string{"a", rack},
+	}
+	p.running[endpoint.Name(name)] = map[graph.TaskID]Start{}
+	p.list()
+	p.observe(endpoint.Name(name), nil)
+}
+
+func (p *player) list() {
+	var list []roster.Worker
+	for _, w := range p.workers {
+		list = append(list, *w)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	p.planner.SetWorkers(list, p.now)
+}
+
+// submit reads: ID queue account TASKSxACCELERATORS, then words such as gang, rack, checkpoints, after=0, spread=1.
+func (p *player) submit(words []string) {
+	job := &graph.Job{ID: graph.ID(words[0]), Queue: words[1], ClientAccount: account.Name(words[2]), Accepted: p.now}
+	for _, word := range words[3:] {
+		if tasks, accelerators, isStep := strings.Cut(word, "x"); isStep && !strings.Contains(word, "=") && word != "max" {
+			n := int64(p.number(accelerators))
+			job.Steps = append(job.Steps, graph.Step{
+				Tasks: p.number(tasks), Estimate: 2 * time.Second,
+				Needs: resources.Amounts{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n},
+			})
+			continue
+		}
+		p.option(&job.Steps[len(job.Steps)-1], word)
+	}
+	p.jobs[job.ID] = job
+	p.planner.Submit(job, p.now)
+}
+
+func (p *player) option(step *graph.Step, word string) {
+	name, value, _ := strings.Cut(word, "=")
+	switch name {
+	case "gang":
+		step.Gang = true
+	case "rack":
+		step.SameRack = true
+	case "checkpoints":
+		step.Checkpoints = true
+	case "after":
+		step.After = append(step.After, p.number(value))
+	case "spread":
+		step.SpreadLimit = p.number(value)
+	case "label":
+		step.Label = value
+	case "data":
+		step.DataRack = value
+	default:
+		p.t.Fatalf("unknown option %q", word)
+	}
+}
+
+// sleep lets time pass in small steps, with holds that every worker answers.
+func (p *player) sleep(word string) {
+	d, err := time.ParseDuration(word)
+	qt.Assert(p.t, err, qt.IsNil)
+	const step = 100 * time.Millisecond
+	for ; d > 0; d -= step {
+		p.now = p.now.Add(min(step, d))
+		p.planner.Tick()
+		p.decide()
+	}
+}
+
+// end lets a task end as given.
+func (p *player) end(task, how, checkpoint string) {
+	kinds := map[string]EndKind{
+		"done": EndDone, "failed": EndFailed, "stopped": EndStopped, "broken": EndBroken, "lapsed": EndLapsed, "alone": EndAlone,
+	}
+	id := p.task(task)
+	for name, runs := range p.running {
+		start, runsHere := runs[id]
+		if !runsHere {
+			continue
+		}
+		delete(runs, id)
+		if checkpoint == "-" {
+			checkpoint = ""
+		}
+		p.observe(name, []EndedRun{{Task: id, Run: start.Run, Kind: kinds[how], Checkpoint: checkpoint}})
+		return
+	}
+	p.t.Fatalf("%s does not run", task)
+}
+
+// observe reports what runs on a worker.
+func (p *player) observe(name endpoint.Name, ends []EndedRun) {
+	o := Observation{Worker: name, Incarnation: p.workers[string(name)].Incarnation, Sent: p.now, Ended: ends}
+	for id, start := range p.running[name] {
+		o.Runs = append(o.Runs, RunningTask{Task: id, Run: start.Run, Percent: p.percent[id]})
+	}
+	sort.Slice(o.Runs, func(i, j int) bool { return o.Runs[i].Task.String() < o.Runs[j].Task.String() })
+	p.planner.Answered(name, true)
+	p.planner.Observe(o, p.now)
+}
+
+// takeover replaces the planner by one that knows only what was stored.
+func (p *player) takeover() {
+	p.planner = New(testSettings(), p.policy)
+	var ids []string
+	for id := range p.jobs {
+		ids = append(ids, string(id))
+	}
+	sort.Strings(ids)
+	p.list()
+	for _, id := range ids {
+		job := p.jobs[graph.ID(id)]
+		if progress, begun := p.stored[job.ID]; begun {
+			p.planner.Restore(job, progress, p.now)
+		} else {
+			p.planner.Submit(job, p.now)
+		}
+	}
+}
+
+// decide carries out decisions until there are none: changes are stored at once, orders are answered at once.
+func (p *player) decide() {
+	for {
+		actions := p.planner.Plan(p.now)
+		changes := p.planner.TakeChanges(100)
+		for _, c := range changes {
+			p.stored[c.Progress.ID] = c.Progress
+			if c.Progress.State.Final() {
+				fmt.Fprintf(&p.out, "%s is %s %s\n", c.Progress.ID, c.Progress.State, c.Progress.Reason)
+			}
+			p.planner.Stored(c, p.now)
+		}
+		for _, action := range actions {
+			p.carryOut(action)
+		}
+		if len(actions) == 0 && len(changes) == 0 {
+			return
+		}
+	}
+}
+
+func (p *player) carryOut(action Action) {
+	switch a := action.(type) {
+	case Start:
+		fmt.Fprintf(&p.out, "start %s run %d on %s %s\n", a.Task, a.Run, a.Worker, a.Checkpoint)
+		p.running[a.Worker][a.Task] = a
+		p.planner.StartAnswered(a, Accepted, p.now)
+	case Stop:
+		fmt.Fprintf(&p.out, "stop %s run %d on %s %s\n", a.Task, a.Run, a.Worker, a.Reason)
+		p.planner.StopAnswered(a, p.now)
+	}
+}
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -124,6 +124,8 @@
 	// percent is the progress that the worker reported last; percentSince is when it changed.
 	percent      int
 	percentSince time.Time
+	// stopped is when the member was last told to stop after its gang had finished.
+	stopped time.Time
 	// leaving is set while the member counts in the worker's leaving amounts.
 	leaving bool
 }
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -24,8 +24,11 @@
 	// leaving is the part of running that is being stopped.
 	leaving resources.Amounts
 	members map[*member]struct{}
-	health  health
-	pace    pace
+	// strangers counts the runs that the worker reported last and that are not wanted there. What they take is not known
+	// from members, so nothing starts until they have ended.
+	strangers int
+	health    health
+	pace      pace
 }
 
 // free returns what can be planned with once what is being stopped has ended.
@@ -78,6 +81,7 @@
 		}
 	}
 	w.health = health{}
+	w.strangers = 0
 }
 
 func (p *Planner) dropUnlisted() {
@@ -132,6 +136,6 @@
 
 // accepts tells whether new tasks may start on a worker.
 func (p *Planner) accepts(w *worker, now time.Time) bool {
-	return w.listed && w.answers && w.State == roster.Ready &&
+	return w.listed && w.answers && w.strangers == 0 && w.State == roster.Ready &&
 		!p.policy.IsOut(w.FailureDomain) && !w.health.suspended(now)
 }
--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -339,4 +339,3 @@
 		Needs: resources.Amounts{CPU: 1000, Memory: 1000, Accelerators: accelerators},
 	}}
 }
-
