--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"auburnstack/core/endpoint"
-	"auburnstack/core/graph"
 	"auburnstack/core/resources"
 )
 
@@ -178,22 +177,3 @@
 	}
 	return a.left.CPU < b.left.CPU
 }
-
-// fitsEver tells whether the registered workers could hold a step if nothing else ran.
-func (p *Planner) fitsEver(step *graph.Step, service string) bool {
-	need := 1
-	if step.Gang {
-		need = step.Tasks
-	}
-	total := 0
-	for _, w := range p.order {
-		if w.Service == service && (step.Label == "" || w.HasLabel(step.Label)) {
-			limit := need
-			if step.SpreadLimit > 0 {
-				limit = min(limit, step.SpreadLimit)
-			}
-			total += w.Capacity.Count(step.Needs, limit)
-		}
-	}
-	return total >= need
-}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -1,6 +1,6 @@
-// Package coordinator carries out the planner's decisions while its VM leads the site: it reads what was accepted, records
-// progress in the store, and gives orders to workers. One goroutine owns the control state of a term; others talk to
-// the store and to workers.
+// Package coordinator carries out the planner's decisions while its VM leads the site: it reads what was accepted,
+// records progress in the store, and gives orders to workers. One goroutine owns the control state of a term; others
+// talk to the store and to workers.
 package coordinator
 
 import (
@@ -80,7 +80,8 @@
 	Known bool
 }
 
-// State returns the state of a job; the second result is false when the VM does not lead or has not read everything yet.
+// State returns the state of a job; the second result is false when the VM does not lead or has not read everything
+// yet.
 func (c *Coordinator) State(ctx context.Context, id graph.ID) (Job, bool) {
 	t := c.current()
 	if t == nil || !t.role.Valid() {
--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -99,8 +99,8 @@
 	return revisions, nil
 }
 
-// landed tells whether an earlier try of the same transaction took effect without an answer. Only this leader writes these
-// keys while its own key is unchanged.
+// landed tells whether an earlier try of the same transaction took effect without an answer. Only this leader writes
+// these keys while its own key is unchanged.
 func landed(
 	conflict *store.ConflictError, fence store.Revision, records []record, err error,
 ) (map[graph.ID]store.Revision, error) {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -236,7 +236,8 @@
 	}
 }
 
-// silent takes a worker as not answering, and asks the others of its failure domain at once, as they may be cut off too.
+// silent takes a worker as not answering, and asks the others of its failure domain at once, as they may be cut off
+// too.
 func (t *term) silent(name endpoint.Name, now time.Time) {
 	t.planner.Answered(name, false)
 	l, linked := t.links[name]
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -1,5 +1,5 @@
-// Package intake answers callers: it accepts and cancels jobs and tells their states. Any VM does so, whether it leads or
-// not; a VM that the store does not answer passes requests on to one that it does.
+// Package intake answers callers: it accepts and cancels jobs and tells their states. Any VM does so, whether it
+// leads or not; a VM that the store does not answer passes requests on to one that it does.
 package intake
 
 import (
@@ -19,6 +19,7 @@
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay"
 	"auburnstack/io/store"
+	"auburnstack/io/wait"
 )
 
 const (
@@ -30,6 +31,9 @@
 	longOutage = 2 * time.Second
 	// retrySpread spreads the returns of callers.
 	retrySpread = 2 * time.Second
+	// settleTime bounds the tries to learn the outcome of a submission that was passed on; settlePause is between them.
+	settleTime  = 1500 * time.Millisecond
+	settlePause = 200 * time.Millisecond
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 900 * time.Millisecond
 	// storePause is the pause between two tries of a call to the store.
@@ -181,10 +185,34 @@
 	return otherwise
 }
 
-// relay asks other VMs in turn until one has an answer. After one that may have acted without answering, only a sure
-// result counts.
+// relay lets another VM answer. A submission that one of them may have stored without answering is handed in again
+// until its outcome is known, as its ID makes it one job.
 func (i *Intake) relay(ctx context.Context, c *call) (answer.Answer, bool) {
+	settle, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
 	uncertain := false
+	for {
+		a, answered, certain := i.relayRound(settle, c)
+		if answered {
+			return a, true
+		}
+		uncertain = uncertain || !certain
+		if !uncertain || c.Method != "POST" {
+			return answer.Answer{}, false
+		}
+		wait.For(settle, settlePause)
+		if settle.Err() != nil {
+			a := i.refusal("a VM that took over the request has not answered")
+			a.Kind = answer.Unknown
+			return a, true
+		}
+	}
+}
+
+// relayRound asks other VMs in turn until one has an answer. The last result is false when one of them may have acted
+// without answering.
+func (i *Intake) relayRound(ctx context.Context, c *call) (a answer.Answer, answered, certain bool) {
+	certain = true
 	for _, peer := range i.site.Peers() {
 		if ctx.Err() != nil {
 			break
@@ -193,16 +221,12 @@
 		a, err := peer.Handle(try, c.Request)
 		cancel()
 		if err != nil {
-			uncertain = uncertain || !errors.Is(err, relay.ErrUnreachable)
+			certain = certain && errors.Is(err, relay.ErrUnreachable)
 			continue
 		}
-		if a.Kind == answer.Refused {
-			continue
+		if a.Kind != answer.Refused {
+			return a, true, true
 		}
-		return a, true
-	}
-	if uncertain && c.Method == "POST" {
-		return answer.Answer{Kind: answer.Unknown, Reason: "a VM that took over the request has not answered"}, true
 	}
-	return answer.Answer{}, false
+	return answer.Answer{}, false, certain
 }
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -86,8 +86,8 @@
 	})
 }
 
-// commit repeats a transaction until its outcome is known or the caller's time is over. settle answers a conflict that is
-// not about the configuration.
+// commit repeats a transaction until its outcome is known or the caller's time is over. settle answers a conflict
+// that is not about the configuration.
 func (i *Intake) commit(
 	ctx context.Context, c *call, t store.Transaction, settle func(*store.ConflictError) (answer.Answer, bool),
 ) answer.Answer {
--- a/io/linelog/writer.go
+++ b/io/linelog/writer.go
@@ -1,5 +1,5 @@
-// Package linelog writes log lines without ever blocking the caller: lines that find the buffer full, or that exceed the
-// rate, are dropped and counted.
+// Package linelog writes log lines without ever blocking the caller: lines that find the buffer full, or that exceed
+// the rate, are dropped and counted.
 package linelog
 
 import (
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -1,5 +1,5 @@
-// Package relay is what the VMs of a site say to each other: the leader's heartbeat, new configurations, and requests that
-// another VM can handle better.
+// Package relay is what the VMs of a site say to each other: the leader's heartbeat, new configurations, and requests
+// that another VM can handle better.
 package relay
 
 import (
@@ -31,7 +31,8 @@
 	// Pending counts the jobs of each queue of which no task has started.
 	Pending map[string]int
 	Members []Member
-	// Lease is that of the leader's key. Resigned tells that the leader has ended its term, so that the lease can be ended.
+	// Lease is that of the leader's key. Resigned tells that the leader has ended its term, so that the lease can be
+	// ended.
 	Lease    store.LeaseID
 	Resigned bool
 }
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -137,7 +137,8 @@
 	return n.intake.Handle(ctx, request, false)
 }
 
-// Ready tells whether the VM can answer callers: it knows a configuration, and it reaches the store or a leader that does.
+// Ready tells whether the VM can answer callers: it knows a configuration, and it reaches the store or a leader that
+// does.
 func (n *Node) Ready() bool {
 	return n.watcher.Current().Policy != nil && (n.store.Answering() || n.members.hearsLeader())
 }
@@ -171,8 +172,8 @@
 	return relay.Known{Revision: current.Revision, ChangedAt: current.ChangedAt}
 }
 
-// succeed ends the lease of a leader that has resigned, and stands for the lead. A leader that the store refuses can't end
-// it by itself.
+// succeed ends the lease of a leader that has resigned, and stands for the lead. A leader that the store refuses
+// can't end it by itself.
 func (n *Node) succeed(lease store.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
--- a/standin/memworker/worker.go
+++ b/standin/memworker/worker.go
@@ -1,5 +1,5 @@
-// Package memworker is a set of workers in memory for tests. They run tasks under leases and fencing tokens, work as gangs, lose
-// answers, obey late and crash; and they note what must never happen, as seen from the workers.
+// Package memworker is a set of workers in memory for tests. They run tasks under leases and fencing tokens, work as
+// gangs, lose answers, obey late and crash; and they note what must never happen, as seen from the workers.
 package memworker
 
 import (
