A failed task goes to another worker; `auburnstack explain`; more headroom

Change: a unit stays away for 3 s from workers on which it has failed. The end of a job is logged once, with its wait, objective, stops and failures, and what was stopped of a job that has ended is not stored again. Headroom covers 4.5 s of urgent demand, 10 to 45%.

--- a/cmd/auburnstack/main.go
+++ b/cmd/auburnstack/main.go
@@ -19,6 +19,7 @@
 	Job      *jobCommand      `arg:"subcommand:job" help:"submit and follow jobs"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show VMs, failure domains and pools"`
 	Timeline *timelineCommand `arg:"subcommand:timeline" help:"show the events of all VMs in one order"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"tell what happened to a job from the VMs' logs"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send a mixed load and check every answer"`
 }
 
@@ -71,6 +72,8 @@
 		return args.Status.run(ctx)
 	case args.Timeline != nil:
 		return args.Timeline.run(ctx)
+	case args.Explain != nil:
+		return args.Explain.run()
 	case args.Load != nil:
 		return args.Load.run(ctx)
 	default:
--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -27,6 +27,7 @@
 			u.failedRun = u.run
 			u.failures++
 		}
+		u.avoid = append(u.avoid, m.worker)
 		p.unitBroken(u, now)
 	default:
 		p.unitBroken(u, now)
@@ -57,7 +58,6 @@
 	u.finishedAt = now
 	u.job.remaining--
 	if u.job.state.Final() {
-		p.touch(u.job)
 		return
 	}
 	if u.job.remaining == 0 {
@@ -70,7 +70,10 @@
 
 // unitBroken stops the rest of a unit after one of its members has ended, and lets it wait again after the last one.
 func (p *Planner) unitBroken(u *unit, now time.Time) {
-	p.touch(u.job)
+	if !u.job.state.Final() {
+		// Nobody asks how what was stopped of a job that has ended came to its end.
+		p.touch(u.job)
+	}
 	for _, m := range u.members {
 		if m.state == ended {
 			continue
--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -10,11 +10,11 @@
 	// headroomWindow is the time over which urgent demand is measured.
 	headroomWindow = 6 * time.Second
 	// headroomCover is the time for which free room must cover urgent demand, until room is made by stopping other work.
-	headroomCover = 3 * time.Second
+	headroomCover = 4500 * time.Millisecond
 	// maxHeadroom bounds the part of all accelerators that is kept free.
-	maxHeadroom = 0.35
+	maxHeadroom = 0.45
 	// minHeadroom is the part that is kept free while urgent jobs have come at all lately.
-	minHeadroom = 0.08
+	minHeadroom = 0.1
 )
 
 // headroom measures how many accelerators urgent jobs ask for, so that as many can be kept free of other work. Stopping
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -24,6 +24,9 @@
 	version, storedVersion uint64
 	// remaining counts the units that have not finished.
 	remaining int
+	// firstStart is when the first task was ordered; stops counts the stopped units by reason.
+	firstStart time.Time
+	stops      map[StopReason]int
 	// durations holds how long the tasks of each step took.
 	durations map[stepKey]*durations
 }
@@ -100,7 +103,7 @@
 }
 
 func (p *Planner) newJob(job *graph.Job) *jobState {
-	j := &jobState{Job: job, state: graph.Queued, stored: graph.Queued}
+	j := &jobState{Job: job, state: graph.Queued, stored: graph.Queued, stops: map[StopReason]int{}}
 	j.queue, _ = p.policy.Queue(job.Queue)
 	j.units = make([][][]*unit, job.Occurrences())
 	for occurrence := range j.units {
@@ -231,6 +234,7 @@
 		p.withdraw(u)
 	case running, ending:
 		u.phase = ending
+		u.job.stops[reason]++
 		for _, m := range u.members {
 			if m.state == ended {
 				continue
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -37,8 +37,7 @@
 	if due := u.job.Due(u.occurrence); !due.IsZero() {
 		begin = due
 	}
-	chain := p.speeds.expect(u.job.Queue, u.job.Chain())
-	objective := time.Duration(u.job.queue.Stretch*float64(chain)) + u.job.queue.Target
+	objective := p.objective(u.job)
 	work := p.speeds.expect(u.job.Queue, u.spec().Estimate)
 	return rank{
 		unit:     u,
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -8,8 +9,12 @@
 	"auburnstack/core/resources"
 )
 
-// splitPatience is how long a unit waits for its rack before it is placed where its tasks take longer.
-const splitPatience = 1500 * time.Millisecond
+const (
+	// splitPatience is how long a unit waits for its rack before it is placed where its tasks take longer.
+	splitPatience = 1500 * time.Millisecond
+	// avoidPatience is how long a unit waits for other workers than those on which it has failed.
+	avoidPatience = 3 * time.Second
+)
 
 // candidate is a worker with the number of a unit's tasks that it can take.
 type candidate struct {
@@ -87,6 +92,9 @@
 		if w.Service != u.job.queue.Service || !p.accepts(w, now) || step.Label != "" && !w.HasLabel(step.Label) {
 			continue
 		}
+		if now.Sub(u.since) < avoidPatience && slices.Contains(u.avoid, w) {
+			continue
+		}
 		limit := u.size()
 		if step.SpreadLimit > 0 {
 			limit = min(limit, step.SpreadLimit-w.sharing(u))
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -48,12 +48,14 @@
 	}
 }
 
-// Stored notes that a change has been stored, and starts the units whose placement it holds.
-func (p *Planner) Stored(change Change, now time.Time) {
+// Stored notes that a change has been stored, and starts the units whose placement it holds. It tells whether the job has
+// ended with this change.
+func (p *Planner) Stored(change Change, now time.Time) bool {
 	j, known := p.jobs[change.Progress.ID]
 	if !known {
-		return
+		return false
 	}
+	ended := change.Progress.State.Final() && !j.stored.Final()
 	j.stored = change.Progress.State
 	j.storedVersion = change.Version
 	j.each(func(u *unit) {
@@ -61,11 +63,15 @@
 			p.start(u, now)
 		}
 	})
+	return ended
 }
 
 func (p *Planner) start(u *unit, now time.Time) {
 	u.phase = running
 	u.started = now
+	if u.job.firstStart.IsZero() {
+		u.job.firstStart = now
+	}
 	u.resumed = u.checkpoint != ""
 	for _, m := range u.members {
 		m.percent = -1
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -48,6 +48,8 @@
 	since time.Time
 	// started is when the newest run was ordered.
 	started time.Time
+	// avoid lists the workers on which a run has failed, as the failure may be theirs.
+	avoid []*worker
 	// placed is when the newest placement was made; finishedAt is when the unit finished.
 	placed, finishedAt time.Time
 	// resumed is set when the newest run began at a checkpoint.
--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -128,15 +128,21 @@
 		t.revisions[id] = revision
 	}
 	for _, change := range e.changes {
-		t.planner.Stored(change, now)
-		if change.Progress.State.Final() {
+		if ended := t.planner.Stored(change, now); ended {
 			t.config.Metrics.final(change.Progress.State)
-			t.config.Log.Info("job ended", "job", change.Progress.ID, "state", change.Progress.State,
-				"reason", change.Progress.Reason)
+			t.logEnd(change.Progress)
 		}
 	}
 }
 
+// logEnd says how a job went.
+func (t *term) logEnd(progress graph.Progress) {
+	s := t.planner.Summary(progress.ID)
+	t.config.Log.Info("job ended", "job", progress.ID, "state", progress.State, "reason", progress.Reason,
+		"took", s.Took.String(), "waited", s.Waited.String(), "objective", s.Objective.String(),
+		"failures", s.Failures, "stops", s.Stops)
+}
+
 // releaseAcks lets workers forget the ends whose consequences are stored.
 func (t *term) releaseAcks() {
 	stored := t.covered
