Units with a demand that could not be met are not tried again in one decision

Cause: a benchmark of an urgent gang's arrival on a busy fleet took 99 ms at 350 workers: each of hundreds of waiting tasks was tried on every worker at each decision. (Part of it was the benchmark's own: leases that it did not renew.)

Change: what decides a placement is compared within one decision; counts of waiting jobs are published every 100 ms, not after each event.

Measured: arrival and end of an urgent gang 0.22 ms at 48 workers, 1.4 ms at 350, 10.4 ms at 2,000: linear, 5 us a worker.

--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 )
 
@@ -47,13 +48,18 @@
 
 func (p *Planner) placeWaiting(now time.Time) {
 	spare := map[string]int64{}
+	failed := map[demand]bool{}
 	for _, u := range p.queueOrder(now) {
 		service := u.job.queue.Service
 		if _, counted := spare[service]; !counted {
 			spare[service] = p.spare(service, now)
 		}
-		demand := u.spec().Needs.Accelerators * int64(u.size())
-		if u.job.queue.Priority > 0 && demand > spare[service] {
+		wanted := u.spec().Needs.Accelerators * int64(u.size())
+		if u.job.queue.Priority > 0 && wanted > spare[service] {
+			continue
+		}
+		key := u.demand(now)
+		if failed[key] {
 			continue
 		}
 		places := p.place(u, now)
@@ -61,9 +67,10 @@
 			places = p.preemptFor(u, now)
 		}
 		if places == nil {
+			failed[key] = true
 			continue
 		}
-		spare[service] -= demand
+		spare[service] -= wanted
 		delete(p.waiting, u)
 		u.reserve(places)
 		u.phase = vacating
@@ -73,6 +80,34 @@
 	}
 }
 
+// demand is what decides whether a unit can be placed. Once one unit could not be placed, no other one with the same
+// demand can until room is given back.
+type demand struct {
+	service  string
+	priority int
+	size     int
+	needs    resources.Amounts
+	label    string
+	dataRack string
+	sameRack bool
+	patient  bool
+	// unit is set for units with conditions of their own.
+	unit *unit
+}
+
+func (u *unit) demand(now time.Time) demand {
+	step := u.spec()
+	d := demand{
+		service: u.job.queue.Service, priority: u.job.queue.Priority, size: u.size(), needs: step.Needs, label: step.Label,
+		dataRack: step.DataRack, sameRack: step.SameRack, patient: now.Sub(u.since) < splitPatience,
+	}
+	// Guarantees differ by account, and so do the workers of units with a spread limit or earlier failures.
+	if step.SpreadLimit > 0 || len(u.avoid) > 0 || u.job.queue.Priority == 0 {
+		d.unit = u
+	}
+	return d
+}
+
 func (p *Planner) launchVacated(now time.Time) {
 	for _, u := range p.sortedPlanned() {
 		if now.Sub(u.placed) > vacateLimit {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -175,6 +175,7 @@
 func (t *term) control(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	t.count()
 	t.step()
 	for {
 		select {
@@ -185,6 +186,7 @@
 			t.drain()
 		case <-ticker.C:
 			t.planner.Tick()
+			t.count()
 			t.forget(ctx)
 		}
 		t.step()
@@ -303,6 +305,10 @@
 	t.orders.retry(now)
 	t.flush()
 	t.releaseAcks()
+}
+
+// count publishes how many jobs of each queue wait.
+func (t *term) count() {
 	pending := t.planner.Pending()
 	t.pending.Store(&pending)
 }
