--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// Stored notes that a change has been stored, and starts the units whose placement it holds. It tells whether the job has
-// ended with this change.
+// Stored notes that a change has been stored, and starts the units whose placement it holds. It tells whether the job
+// has ended with this change.
 func (p *Planner) Stored(change Change, now time.Time) bool {
 	j, known := p.jobs[change.Progress.ID]
 	if !known {
--- a/core/story/story.go
+++ b/core/story/story.go
@@ -25,8 +25,8 @@
 	Fields map[string]string
 }
 
-// Read returns the lines about a job, in the order of their times. Text before the JSON of a line is passed over, and so
-// are lines without JSON.
+// Read returns the lines about a job, in the order of their times. Text before the JSON of a line is passed over, and
+// so are lines without JSON.
 func Read(job string, logs ...io.Reader) ([]Line, error) {
 	var lines []Line
 	for _, log := range logs {
