A failed run counts once across takeovers

The failure was stored while the rest of the gang still ended; the lead then changed hands (answers of the store were lost), and the worker listed the end again to the successor, which counted it a second time.

Ruled out: two members that failed in one run (the worker's list has one); attempts from the configuration.

Change: the progress keeps which run was counted last. TestFailureCountsOnce failed before (2 instead of 1).

--- a/core/graph/progress.go
+++ b/core/graph/progress.go
@@ -42,8 +42,10 @@
 	// Run is the newest run that may have been ordered.
 	Run Run
 	// Failures counts the runs that ended as failed.
-	Failures int  `json:",omitempty"`
-	Done     bool `json:",omitempty"`
+	Failures int `json:",omitempty"`
+	// FailedRun is the last run that is counted in Failures, as a worker may list its end again to another leader.
+	FailedRun Run  `json:",omitempty"`
+	Done      bool `json:",omitempty"`
 	// Workers lists where the tasks of the newest run were placed, in the order of their indexes; empty when nothing
 	// of that run can run any more.
 	Workers []endpoint.Name `json:",omitempty"`
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -68,7 +68,8 @@
 	if u == nil {
 		return
 	}
-	u.run, u.failures, u.checkpoint = record.Run, record.Failures, record.Checkpoint
+	u.run, u.checkpoint = record.Run, record.Checkpoint
+	u.failures, u.failedRun = record.Failures, record.FailedRun
 	if record.Done {
 		u.phase = finished
 		j.remaining--
--- /dev/null
+++ b/core/planner/takeover_test.go
@@ -0,0 +1,53 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/graph"
+	"auburnstack/core/resources"
+	"auburnstack/core/roster"
+)
+
+// TestFailureCountsOnce checks that a failed end which a worker lists again to a successor does not count twice: a gang's
+// failure is stored while other members still end, and the worker may forget the end only after that.
+func TestFailureCountsOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []roster.Worker{
+		{Name: "w1", Service: "assay", Incarnation: 1, Capacity: resources.Amounts{CPU: 1, Accelerators: 1}},
+		{Name: "w2", Service: "assay", Incarnation: 1, Capacity: resources.Amounts{CPU: 1, Accelerators: 1}},
+	}
+	job := &graph.Job{ID: "job", Queue: "long", ClientAccount: "gold", Accepted: now, Steps: []graph.Step{
+		{Tasks: 2, Gang: true, Estimate: time.Second, Needs: resources.Amounts{Accelerators: 1}},
+	}}
+	first := New(testSettings(), testPolicy())
+	first.SetWorkers(list, now)
+	first.Answered("w1", true)
+	first.Answered("w2", true)
+	first.Submit(job, now)
+	settle(first, now)
+	failed := Observation{
+		Worker: "w1", Incarnation: 1, Sent: now,
+		Ended: []EndedRun{{Task: graph.TaskID{Job: "job"}, Run: 1, Kind: EndFailed}},
+	}
+	first.Observe(failed, now)
+	stored := first.TakeChanges(1)[0].Progress
+	qt.Assert(t, stored.Units[0].Failures, qt.Equals, 1)
+
+	second := New(testSettings(), testPolicy())
+	second.SetWorkers(list, now)
+	second.Restore(job, stored, now)
+	now = now.Add(time.Second)
+	failed.Sent = now
+	second.Observe(failed, now)
+	second.Observe(Observation{
+		Worker: "w2", Incarnation: 1, Sent: now,
+		Ended: []EndedRun{{Task: graph.TaskID{Job: "job", Index: 1}, Run: 1, Kind: EndBroken}},
+	}, now)
+	state, known := second.State("job")
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Check(t, state, qt.Not(qt.Equals), graph.Failed)
+	qt.Check(t, second.jobs["job"].units[0][0][0].failures, qt.Equals, 1)
+}
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -90,7 +90,8 @@
 
 func (u *unit) progress() graph.UnitProgress {
 	record := graph.UnitProgress{
-		Occurrence: u.occurrence, Step: u.step, Index: u.index, Run: u.run, Failures: u.failures,
+		Occurrence: u.occurrence, Step: u.step, Index: u.index, Run: u.run,
+		Failures: u.failures, FailedRun: u.failedRun,
 		Done: u.phase == finished, Checkpoint: u.checkpoint,
 	}
 	if u.phase == recording || u.phase == running || u.phase == ending {
