--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -13,7 +13,7 @@
 	headroomCover = 4500 * time.Millisecond
 	// maxHeadroom bounds the part of all accelerators that is kept free.
 	maxHeadroom = 0.45
-	// minHeadroom is the part that is kept free while urgent jobs have come at all lately.
+	// minHeadroom is the part that is kept free for a queue of urgent jobs even when none have come lately.
 	minHeadroom = 0.1
 )
 
@@ -44,9 +44,6 @@
 	for len(h.arrivals) > 0 && now.Sub(h.arrivals[0].at) > headroomWindow {
 		h.arrivals = h.arrivals[1:]
 	}
-	if len(h.arrivals) == 0 {
-		return 0
-	}
 	var sum int64
 	for _, a := range h.arrivals {
 		sum += a.accelerators
@@ -55,8 +52,29 @@
 	return max(int64(minHeadroom*float64(total)), min(cover, int64(maxHeadroom*float64(total))))
 }
 
-// spare returns how many accelerators units that are not urgent may take now.
-func (p *Planner) spare(service string, now time.Time) int64 {
+// spareRoom is what units that are not urgent may take of a service's accelerators.
+type spareRoom struct {
+	// left is what they may take now, most what they could take if nothing ran.
+	left, most int64
+}
+
+// allows tells whether a number of accelerators may be taken. What is more than could ever be left may take all.
+func (s *spareRoom) allows(wanted int64) bool {
+	return wanted <= s.left || wanted > s.most
+}
+
+// urgentQueue tells whether a service has a queue of urgent jobs.
+func (p *Planner) urgentQueue(service string) bool {
+	for i := range p.policy.Queues {
+		if p.policy.Queues[i].Service == service && p.policy.Queues[i].Priority == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// spare returns what units that are not urgent may take now.
+func (p *Planner) spare(service string, now time.Time) *spareRoom {
 	var total, free int64
 	for _, w := range p.order {
 		if w.Service != service || !p.accepts(w, now) {
@@ -65,5 +83,9 @@
 		total += w.Capacity.Accelerators
 		free += max(w.free().Accelerators, 0)
 	}
-	return free - p.headroom.target(total, now)
+	if !p.urgentQueue(service) {
+		return &spareRoom{left: free, most: total}
+	}
+	target := p.headroom.target(total, now)
+	return &spareRoom{left: free - target, most: total - target}
 }
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -47,7 +47,7 @@
 }
 
 func (p *Planner) placeWaiting(now time.Time) {
-	spare := map[string]int64{}
+	spare := map[string]*spareRoom{}
 	failed := map[demand]bool{}
 	for _, u := range p.queueOrder(now) {
 		service := u.job.queue.Service
@@ -55,7 +55,7 @@
 			spare[service] = p.spare(service, now)
 		}
 		wanted := u.spec().Needs.Accelerators * int64(u.size())
-		if u.job.queue.Priority > 0 && wanted > spare[service] {
+		if u.job.queue.Priority > 0 && !spare[service].allows(wanted) {
 			continue
 		}
 		key := u.demand(now)
@@ -70,7 +70,7 @@
 			failed[key] = true
 			continue
 		}
-		spare[service] -= wanted
+		spare[service].left -= wanted
 		delete(p.waiting, u)
 		u.reserve(places)
 		u.phase = vacating
--- a/io/coordinator/keys.go
+++ b/io/coordinator/keys.go
@@ -46,8 +46,9 @@
 	return progress, nil
 }
 
-// decodeInbox sorts items into jobs and cancellations.
-func decodeInbox(items []store.Item) (jobsAccepted, error) {
+// decodeInbox sorts items into jobs and cancellations. A record that can't be read is reported and left out, so that it
+// does not hold up the others.
+func decodeInbox(items []store.Item, report func(error)) jobsAccepted {
 	var found jobsAccepted
 	for _, item := range items {
 		if id, isCancel := strings.CutPrefix(item.Key, cancelPrefix); isCancel {
@@ -56,9 +57,10 @@
 		}
 		job, err := DecodeJob(item)
 		if err != nil {
-			return found, err
+			report(err)
+			continue
 		}
 		found.jobs = append(found.jobs, job)
 	}
-	return found, nil
+	return found
 }
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -92,8 +92,7 @@
 func (t *term) run(ctx context.Context) {
 	defer t.work.Wait()
 	begun := time.Now()
-	at, ok := t.load(ctx)
-	if !ok {
+	if !t.load(ctx) {
 		return
 	}
 	t.config.Log.Info("took over", "jobs", len(t.revisions), "took", time.Since(begun).String(), "fence", t.role.Fence)
@@ -102,51 +101,54 @@
 		t.post(workersChanged{workers: list})
 	})
 	defer workers.Close()
-	t.spawn(func() { t.followInbox(ctx, at) })
+	inbox := t.followInbox()
+	defer inbox.Close()
 	defer t.closeLinks()
 	t.control(ctx)
 }
 
-// load reads everything that was accepted and recorded, and returns the revision from which the inbox is followed.
-func (t *term) load(ctx context.Context) (store.Revision, bool) {
+// load reads everything that was accepted and recorded. It tells whether the term goes on.
+func (t *term) load(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		at, err := t.read(ctx)
+		err := t.read(ctx)
 		if err == nil {
-			return at, true
+			return true
 		}
 		t.config.Log.Warn("records not read", "error", err.Error())
 		wait.For(ctx, retryPause)
 	}
-	return 0, false
+	return false
 }
 
-func (t *term) read(ctx context.Context) (store.Revision, error) {
+func (t *term) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	inbox, err := t.config.Store.Range(ctx, InboxPrefix)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	records, err := t.config.Store.Range(ctx, progressPrefix)
 	if err != nil {
-		return 0, err
-	}
-	accepted, err := decodeInbox(inbox.Items)
-	if err != nil {
-		return 0, err
+		return err
 	}
 	progress := map[graph.ID]graph.Progress{}
 	t.revisions = map[graph.ID]store.Revision{}
 	for _, item := range records.Items {
 		record, err := DecodeProgress(item)
 		if err != nil {
-			return 0, err
+			t.skipped(err)
+			continue
 		}
 		progress[record.ID] = record
 		t.revisions[record.ID] = item.Revision
 	}
-	t.restore(accepted, progress)
-	return inbox.At, nil
+	t.restore(decodeInbox(inbox.Items, t.skipped), progress)
+	return nil
+}
+
+// skipped reports a record that can't be read.
+func (t *term) skipped(err error) {
+	t.config.Log.Error("record skipped", "error", err.Error())
 }
 
 func (t *term) restore(accepted jobsAccepted, progress map[graph.ID]graph.Progress) {
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -3,17 +3,15 @@
 package policywatch
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"auburnstack/core/policy"
+	"auburnstack/io/mirror"
 	"auburnstack/io/store"
-	"auburnstack/io/wait"
 )
 
 const (
@@ -21,8 +19,6 @@
 	watchWait = 800 * time.Millisecond
 	// callTimeout bounds the delivery of a call and its answer.
 	callTimeout = 500 * time.Millisecond
-	// retryPause is the pause after a call that failed.
-	retryPause = 150 * time.Millisecond
 )
 
 // Codec reads the configuration.
@@ -57,7 +53,6 @@
 
 // Watcher follows the configuration.
 type Watcher struct {
-	store store.Store
 	codec Codec
 	log   hclog.Logger
 	// adopted is called after a configuration was adopted; fromStore tells where it came from.
@@ -66,25 +61,23 @@
 
 	// mu orders adoptions.
 	mu sync.Mutex
-	// items mirrors the operators' keys. Only the watching goroutine uses it.
+	// items holds the operators' keys. Only the mirror's goroutine uses it.
 	items  map[string]store.Item
-	cancel context.CancelFunc
-	done   chan struct{}
+	mirror *mirror.Mirror
 }
 
 // New starts to follow the configuration.
 func New(s store.Store, codec Codec, log hclog.Logger, adopted func(snapshot *Snapshot, fromStore bool)) *Watcher {
-	ctx, cancel := context.WithCancel(context.Background())
-	w := &Watcher{store: s, codec: codec, log: log, adopted: adopted, cancel: cancel, done: make(chan struct{})}
+	w := &Watcher{codec: codec, log: log, adopted: adopted}
 	w.current.Store(&Snapshot{})
-	go w.run(ctx)
+	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout}
+	w.mirror = mirror.New(s, options, log, w)
 	return w
 }
 
 // Close stops following and waits.
 func (w *Watcher) Close() {
-	w.cancel()
-	<-w.done
+	w.mirror.Close()
 }
 
 // Key is that of the configuration.
@@ -97,58 +90,29 @@
 	return w.current.Load()
 }
 
-func (w *Watcher) run(ctx context.Context) {
-	defer close(w.done)
-	for ctx.Err() == nil {
-		if err := w.follow(ctx); err != nil && ctx.Err() == nil {
-			w.log.Debug("configuration not followed", "error", err.Error())
-			wait.For(ctx, retryPause)
-		}
+// Replaced implements mirror.Listener.
+func (w *Watcher) Replaced(items []store.Item, at store.Revision) {
+	w.items = map[string]store.Item{}
+	for _, item := range items {
+		w.items[item.Key] = item
 	}
+	w.publish(at)
 }
 
-// follow reads everything once and then watches until a call fails.
-func (w *Watcher) follow(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, 2*callTimeout)
-	defer cancel()
-	page, err := w.store.Range(call, w.codec.Prefix())
-	if err != nil {
-		return err
-	}
-	w.items = map[string]store.Item{}
-	for _, item := range page.Items {
-		w.items[item.Key] = item
+// Changed implements mirror.Listener.
+func (w *Watcher) Changed(events []store.Event, at store.Revision) {
+	if len(events) == 0 {
+		w.prove()
+		return
 	}
-	w.publish(page.At)
-	at := page.At
-	for {
-		changes, err := w.watch(ctx, at)
-		if errors.Is(err, store.ErrCompacted) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		at = changes.At
-		if len(changes.Events) == 0 {
-			w.prove()
-			continue
+	for _, event := range events {
+		if event.Deleted {
+			delete(w.items, event.Key)
+		} else {
+			w.items[event.Key] = event.Item
 		}
-		for _, event := range changes.Events {
-			if event.Deleted {
-				delete(w.items, event.Key)
-			} else {
-				w.items[event.Key] = event.Item
-			}
-		}
-		w.publish(at)
 	}
-}
-
-func (w *Watcher) watch(ctx context.Context, at store.Revision) (store.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-	defer cancel()
-	return w.store.Watch(ctx, w.codec.Prefix(), at, watchWait)
+	w.publish(at)
 }
 
 // publish adopts what the mirrored items say as of a revision.
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -2,16 +2,14 @@
 package rosterwatch
 
 import (
-	"context"
 	"sort"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"auburnstack/core/roster"
+	"auburnstack/io/mirror"
 	"auburnstack/io/store"
-	"auburnstack/io/wait"
 )
 
 const (
@@ -21,8 +19,6 @@
 	callTimeout = time.Second
 	// gatherPause lets several heartbeats come with one watch.
 	gatherPause = 250 * time.Millisecond
-	// retryPause is the pause after a call that failed.
-	retryPause = 150 * time.Millisecond
 	// returnTime is how long registrations that lapsed during an outage may take to come back.
 	returnTime = 2200 * time.Millisecond
 )
@@ -37,7 +33,6 @@
 
 // Watcher follows the registrations while its VM leads.
 type Watcher struct {
-	store   store.Store
 	codec   Codec
 	log     hclog.Logger
 	changed func(workers []roster.Worker)
@@ -47,8 +42,7 @@
 	missing map[string]absence
 	// reported tells which registrations were logged as unusable, by the revision of the entry's creation.
 	reported map[string]store.Revision
-	cancel   context.CancelFunc
-	done     chan struct{}
+	mirror   *mirror.Mirror
 }
 
 // absence is a registration that was not there after an outage.
@@ -59,67 +53,38 @@
 
 // New starts to follow; changed is called with all usable registrations after each change.
 func New(s store.Store, codec Codec, log hclog.Logger, changed func(workers []roster.Worker)) *Watcher {
-	ctx, cancel := context.WithCancel(context.Background())
 	w := &Watcher{
-		store: s, codec: codec, log: log, changed: changed, items: map[string]store.Item{},
-		missing: map[string]absence{}, reported: map[string]store.Revision{}, cancel: cancel, done: make(chan struct{}),
+		codec: codec, log: log, changed: changed, items: map[string]store.Item{}, missing: map[string]absence{},
+		reported: map[string]store.Revision{},
 	}
-	go w.run(ctx)
+	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Gather: gatherPause, Timeout: callTimeout}
+	w.mirror = mirror.New(s, options, log, w)
 	return w
 }
 
 // Close stops following and waits.
 func (w *Watcher) Close() {
-	w.cancel()
-	<-w.done
+	w.mirror.Close()
 }
 
-func (w *Watcher) run(ctx context.Context) {
-	defer close(w.done)
-	for ctx.Err() == nil {
-		if err := w.follow(ctx); err != nil && ctx.Err() == nil {
-			w.log.Debug("registrations not followed", "error", err.Error())
-			wait.For(ctx, retryPause)
-		}
-	}
+// Replaced implements mirror.Listener.
+func (w *Watcher) Replaced(items []store.Item, _ store.Revision) {
+	now := time.Now()
+	w.replace(items, now)
+	w.publish(now)
 }
 
-func (w *Watcher) follow(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	page, err := w.store.Range(call, w.codec.Prefix())
-	if err != nil {
-		return err
-	}
-	w.replace(page.Items, time.Now())
-	w.publish(time.Now())
-	at := page.At
-	for {
-		changes, err := w.watch(ctx, at)
-		if errors.Is(err, store.ErrCompacted) {
-			return nil
+// Changed implements mirror.Listener.
+func (w *Watcher) Changed(events []store.Event, _ store.Revision) {
+	for _, event := range events {
+		delete(w.missing, event.Key)
+		if event.Deleted {
+			delete(w.items, event.Key)
+		} else {
+			w.items[event.Key] = event.Item
 		}
-		if err != nil {
-			return err
-		}
-		at = changes.At
-		for _, event := range changes.Events {
-			delete(w.missing, event.Key)
-			if event.Deleted {
-				delete(w.items, event.Key)
-			} else {
-				w.items[event.Key] = event.Item
-			}
-		}
-		w.publish(time.Now())
-		wait.For(ctx, gatherPause)
 	}
-}
-
-func (w *Watcher) watch(ctx context.Context, at store.Revision) (store.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-	defer cancel()
-	return w.store.Watch(ctx, w.codec.Prefix(), at, watchWait)
+	w.publish(time.Now())
 }
 
 // replace takes over a complete reading; what it lacks is kept for a while.
--- /dev/null
+++ b/standin/memstore/service.go
@@ -0,0 +1,188 @@
+// Package memstore is a key-value service in memory for tests: revisions, leases, watches and transactions, and the
+// faults that such a service has. It follows the clock of the time package, so it works in virtual time.
+package memstore
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/io/store"
+)
+
+// latency is the time that a call takes.
+const latency = 4 * time.Millisecond
+
+// Service is the key-value service.
+type Service struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	revision store.Revision
+	items    map[string]store.Item
+	// log holds the changes after the revision compacted.
+	log       []store.Event
+	compacted store.Revision
+	leases    map[store.LeaseID]*lease
+	nextLease store.LeaseID
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+	// deaf is set while watches hear nothing.
+	deaf   bool
+	faults Faults
+}
+
+// lease is a lease with its end.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// New returns an empty service whose faults follow a seed.
+func New(seed uint64) *Service {
+	return &Service{
+		random: rand.New(rand.NewPCG(seed, seed)), items: map[string]store.Item{},
+		leases: map[store.LeaseID]*lease{}, changed: make(chan struct{}),
+	}
+}
+
+// SetFaults sets what goes wrong with all calls.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetDeaf makes watches hear nothing.
+func (s *Service) SetDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+	s.wake()
+}
+
+// Compact discards the history.
+func (s *Service) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = nil
+	s.compacted = s.revision
+	s.wake()
+}
+
+// Put writes a key as the operators or workers do.
+func (s *Service) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(store.Put{Key: key, Value: value})
+	s.wake()
+}
+
+// Remove deletes a key as the operators or workers do.
+func (s *Service) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
+// Keys lists the keys under a prefix.
+func (s *Service) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Client returns a connection to the service.
+func (s *Service) Client() *Client {
+	return &Client{service: s}
+}
+
+func (s *Service) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes an item at the current revision.
+func (s *Service) put(p store.Put) {
+	item, known := s.items[p.Key]
+	if !known {
+		item.Created = s.revision
+	}
+	item.Key, item.Value, item.Lease, item.Revision = p.Key, p.Value, p.Lease, s.revision
+	s.items[p.Key] = item
+	s.log = append(s.log, store.Event{Item: item})
+}
+
+func (s *Service) remove(key string) {
+	if _, known := s.items[key]; !known {
+		return
+	}
+	delete(s.items, key)
+	s.log = append(s.log, store.Event{Item: store.Item{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+// expire ends the leases whose time is over.
+func (s *Service) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Service) end(id store.LeaseID) {
+	delete(s.leases, id)
+	s.revision++
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.wake()
+}
+
+func (s *Service) commit(t store.Transaction) (store.Revision, error) {
+	s.expire()
+	conflict := &store.ConflictError{}
+	failed := false
+	for _, c := range t.Conditions {
+		item := s.items[c.Key]
+		if item.Revision != c.Revision {
+			failed = true
+		}
+		if item.Revision != 0 {
+			conflict.Items = append(conflict.Items, item)
+		}
+	}
+	if failed {
+		return 0, errors.WithStack(conflict)
+	}
+	for _, p := range t.Puts {
+		if _, alive := s.leases[p.Lease]; p.Lease != 0 && !alive {
+			return 0, store.ErrLeaseEnded
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.put(p)
+	}
+	for _, key := range t.Removes {
+		s.remove(key)
+	}
+	s.wake()
+	return s.revision, nil
+}
--- /dev/null
+++ b/standin/memworker/connection.go
@@ -0,0 +1,102 @@
+package memworker
+
+import (
+	"context"
+	"time"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/io/runner"
+)
+
+// connection is a runner.Worker.
+type connection struct {
+	fleet *Fleet
+	name  endpoint.Name
+}
+
+// order carries out an order, late and without an answer if a fault says so.
+func (c *connection) order(ctx context.Context, act func(w *machine) error) error {
+	if err := c.travel(ctx); err != nil {
+		return err
+	}
+	c.fleet.mu.Lock()
+	w := c.fleet.workers[c.name]
+	if w.cut || w.crashed {
+		c.fleet.mu.Unlock()
+		<-ctx.Done()
+		return runner.ErrUnanswered
+	}
+	if c.fleet.random.Float64() < c.fleet.lateShare {
+		delay := 2*time.Second + time.Duration(c.fleet.random.Int64N(int64(10*time.Second)))
+		time.AfterFunc(delay, func() { c.actLate(act) })
+		c.fleet.mu.Unlock()
+		<-ctx.Done()
+		return runner.ErrUnanswered
+	}
+	err := act(w)
+	c.fleet.mu.Unlock()
+	if travel := c.travel(ctx); travel != nil {
+		return travel
+	}
+	return err
+}
+
+func (c *connection) actLate(act func(w *machine) error) {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	if w := c.fleet.workers[c.name]; !w.crashed {
+		// Nobody waits for the answer.
+		_ = act(w)
+	}
+}
+
+func (c *connection) travel(ctx context.Context) error {
+	timer := time.NewTimer(latency)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return runner.ErrUnanswered
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Hold implements runner.Worker.
+func (c *connection) Hold(ctx context.Context, hold runner.Hold) (runner.Held, error) {
+	var held runner.Held
+	deadline := time.Now().Add(hold.Wait)
+	for {
+		var changed <-chan struct{}
+		err := c.order(ctx, func(w *machine) error {
+			if err := w.admit(hold.Fence); err != nil {
+				return err
+			}
+			if hold.Until != 0 {
+				w.renew(hold.Until)
+				hold.Until = 0
+			}
+			held, changed = w.held(hold.Seen), w.changed
+			return nil
+		})
+		if err != nil || len(held.Ended) > 0 || !time.Now().Before(deadline) {
+			return held, err
+		}
+		timer := time.NewTimer(time.Until(deadline))
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// Start implements runner.Worker.
+func (c *connection) Start(ctx context.Context, start runner.Start) (runner.WorkerTime, error) {
+	return 0, c.order(ctx, func(w *machine) error { return w.start(start) })
+}
+
+// Stop implements runner.Worker.
+func (c *connection) Stop(ctx context.Context, stop runner.Stop) error {
+	return c.order(ctx, func(w *machine) error { return w.stop(stop) })
+}
--- /dev/null
+++ b/standin/memworker/fleet.go
@@ -0,0 +1,170 @@
+// Package memworker is a set of workers in memory for tests. They run tasks under leases and fencing tokens, work as
+// gangs, lose answers, obey late and crash; and they note what must never happen, as seen from the workers.
+package memworker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/roster"
+	"auburnstack/io/runner"
+)
+
+const (
+	// leaseLimit is the longest lease.
+	leaseLimit = 10 * time.Second
+	// stopTime is the time that a stop takes.
+	stopTime = 400 * time.Millisecond
+	// gangTimeout is how long a member waits for the others.
+	gangTimeout = 3 * time.Second
+	// latency is the time that an order takes in either direction.
+	latency = time.Millisecond
+)
+
+// Fleet is a set of workers.
+type Fleet struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	workers map[endpoint.Name]*machine
+	plans   map[graph.ID]Plan
+	// started counts the runs of each task; done holds the tasks that have finished.
+	started map[graph.TaskID]int
+	failed  map[graph.TaskID]int
+	done    map[graph.TaskID]bool
+	// Violations lists what must never happen.
+	violations []string
+	// lateShare is the share of orders that are carried out late and without an answer.
+	lateShare float64
+}
+
+// New returns a fleet without workers.
+func New(seed uint64) *Fleet {
+	return &Fleet{
+		random: rand.New(rand.NewPCG(seed, ^seed)), workers: map[endpoint.Name]*machine{}, plans: map[graph.ID]Plan{},
+		started: map[graph.TaskID]int{}, failed: map[graph.TaskID]int{}, done: map[graph.TaskID]bool{},
+	}
+}
+
+// Add adds a worker.
+func (f *Fleet) Add(info roster.Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	info.Incarnation = roster.Incarnation(time.Now().UnixMilli())
+	f.workers[info.Name] = &machine{
+		fleet: f, info: info, born: time.Now(), runs: map[graph.TaskID]*run{}, highest: map[graph.TaskID]graph.Run{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Info returns a worker's registration.
+func (f *Fleet) Info(name endpoint.Name) roster.Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[name].info
+}
+
+// SetPlan tells how the tasks of a job behave.
+func (f *Fleet) SetPlan(id graph.ID, plan Plan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plans[id] = plan
+}
+
+// SetLate makes a share of the orders be carried out late and without an answer.
+func (f *Fleet) SetLate(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lateShare = share
+}
+
+// Cut cuts a worker off from all VMs, or heals the cut.
+func (f *Fleet) Cut(name endpoint.Name, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[name].cut = cut
+}
+
+// Hang makes what runs on a worker stand still.
+func (f *Fleet) Hang(name endpoint.Name) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[name]
+	w.hangs = true
+	for _, r := range w.runs {
+		if r.work != nil {
+			r.work.Stop()
+		}
+	}
+}
+
+// FailAll makes a worker fail all that it starts.
+func (f *Fleet) FailAll(name endpoint.Name) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[name].failsAll = true
+}
+
+// Reborn crashes a worker, which starts again under the same name.
+func (f *Fleet) Reborn(name endpoint.Name) {
+	f.mu.Lock()
+	w := f.workers[name]
+	w.kill()
+	info, cut := w.info, w.cut
+	f.mu.Unlock()
+	f.Add(info)
+	f.Cut(name, cut)
+}
+
+// Crash ends a worker for good.
+func (f *Fleet) Crash(name endpoint.Name) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[name].kill()
+	f.workers[name].crashed = true
+}
+
+// Violations lists what must never happen and did.
+func (f *Fleet) Violations() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.violations...)
+}
+
+// Done tells whether a task has finished.
+func (f *Fleet) Done(task graph.TaskID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[f.unitOf(task)]
+}
+
+// Started counts the runs of a task.
+func (f *Fleet) Started(task graph.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.started[task]
+}
+
+// Running counts the tasks that run.
+func (f *Fleet) Running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, w := range f.workers {
+		w.expire()
+		count += len(w.runs)
+	}
+	return count
+}
+
+func (f *Fleet) violate(format string, words ...any) {
+	f.violations = append(f.violations, fmt.Sprintf(format, words...))
+}
+
+// Worker implements runner.Dialer.
+func (f *Fleet) Worker(info roster.Worker) runner.Worker {
+	return &connection{fleet: f, name: info.Name}
+}
