Headroom lies in whole racks

Change: other work is placed beside the racks with the most free accelerators, enough of them for the headroom; it takes them only after 3 s, and within the count that may be taken at all.

--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -1,8 +1,10 @@
 package planner
 
 import (
+	"sort"
 	"time"
 
+	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 )
 
@@ -56,6 +58,9 @@
 type spareRoom struct {
 	// left is what they may take now, most what they could take if nothing ran.
 	left, most int64
+	// kept lists the racks in which the headroom lies: those with the most free accelerators. Urgent gangs mostly ask for
+	// one rack, so free accelerators in many racks would not serve them.
+	kept map[endpoint.Rack]bool
 }
 
 // allows tells whether a number of accelerators may be taken. What is more than could ever be left may take all.
@@ -76,16 +81,42 @@
 // spare returns what units that are not urgent may take now.
 func (p *Planner) spare(service string, now time.Time) *spareRoom {
 	var total, free int64
+	racks := map[endpoint.Rack]int64{}
 	for _, w := range p.order {
 		if w.Service != service || !p.accepts(w, now) {
 			continue
 		}
 		total += w.Capacity.Accelerators
-		free += max(w.free().Accelerators, 0)
+		available := max(w.free().Accelerators, 0)
+		free += available
+		racks[w.Rack] += available
 	}
 	if !p.urgentQueue(service) {
 		return &spareRoom{left: free, most: total}
 	}
 	target := p.headroom.target(total, now)
-	return &spareRoom{left: free - target, most: total - target}
+	return &spareRoom{left: free - target, most: total - target, kept: mostFree(racks, target)}
+}
+
+// mostFree returns the racks with the most free accelerators that together have at least a number of them.
+func mostFree(racks map[endpoint.Rack]int64, wanted int64) map[endpoint.Rack]bool {
+	names := make([]endpoint.Rack, 0, len(racks))
+	for rack := range racks {
+		names = append(names, rack)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		if racks[names[i]] != racks[names[j]] {
+			return racks[names[i]] > racks[names[j]]
+		}
+		return names[i] < names[j]
+	})
+	kept := map[endpoint.Rack]bool{}
+	for _, rack := range names {
+		if wanted <= 0 {
+			break
+		}
+		kept[rack] = true
+		wanted -= racks[rack]
+	}
+	return kept
 }
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -12,6 +12,8 @@
 	stallLimit = 2500 * time.Millisecond
 	// leftoverLimit is how long the other members of a gang that has finished may run on.
 	leftoverLimit = time.Second
+	// keptPatience is how long a unit that is not urgent waits for room beside the racks that are kept for urgent ones.
+	keptPatience = 3 * time.Second
 	// vacateLimit is how long a placement waits for the room that stops are to make.
 	vacateLimit = 3 * time.Second
 )
@@ -62,7 +64,7 @@
 		if failed[key] {
 			continue
 		}
-		places := p.place(u, now)
+		places := p.placeBeside(u, now, spare[service])
 		if places == nil && u.job.queue.Priority == 0 {
 			places = p.preemptFor(u, now)
 		}
@@ -80,6 +82,24 @@
 	}
 }
 
+// placeBeside places a unit that is not urgent beside the racks that are kept for urgent ones, at first.
+func (p *Planner) placeBeside(u *unit, now time.Time, spare *spareRoom) []*worker {
+	if u.job.queue.Priority == 0 || len(spare.kept) == 0 {
+		return p.place(u, now)
+	}
+	beside := func(w *worker) resources.Amounts {
+		if spare.kept[w.Rack] {
+			return resources.Amounts{}
+		}
+		return w.free()
+	}
+	places := p.placeIn(u, now, beside)
+	if places == nil && now.Sub(u.since) >= keptPatience {
+		places = p.place(u, now)
+	}
+	return places
+}
+
 // demand is what decides whether a unit can be placed. Once one unit could not be placed, no other one with the same
 // demand can until room is given back.
 type demand struct {
@@ -91,6 +111,7 @@
 	dataRack string
 	sameRack bool
 	patient  bool
+	beside   bool
 	// unit is set for units with conditions of their own.
 	unit *unit
 }
@@ -100,6 +121,7 @@
 	d := demand{
 		service: u.job.queue.Service, priority: u.job.queue.Priority, size: u.size(), needs: step.Needs, label: step.Label,
 		dataRack: step.DataRack, sameRack: step.SameRack, patient: now.Sub(u.since) < splitPatience,
+		beside: now.Sub(u.since) < keptPatience,
 	}
 	// Guarantees differ by account, and so do the workers of units with a spread limit or earlier failures.
 	if step.SpreadLimit > 0 || len(u.avoid) > 0 || u.job.queue.Priority == 0 {
