Racks kept for urgent jobs never make other work remote at once

Change: beside the kept racks nothing is placed remotely; a task whose data is in a kept rack may go there at once.

--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -31,17 +31,19 @@
 
 // place returns workers for all tasks of a unit, or nil if there is no room.
 func (p *Planner) place(u *unit, now time.Time) []*worker {
-	return p.placeIn(u, now, (*worker).free)
+	return p.placeIn(u, (*worker).free, u.mayWorkRemotely(now))
 }
 
-func (p *Planner) placeIn(u *unit, now time.Time, free room) []*worker {
-	candidates := p.candidates(u, now, free)
+// placeIn places a unit in the room that is given. Unless it may be remote, it gets one rack or its data's rack if it asks
+// for that, or no place.
+func (p *Planner) placeIn(u *unit, free room, remote bool) []*worker {
+	candidates := p.candidates(u, free)
 	if u.job.queue.Priority == 0 {
-		if places := p.placeAmong(u, now, p.fast(candidates)); places != nil {
+		if places := p.placeAmong(u, p.fast(candidates), remote); places != nil {
 			return places
 		}
 	}
-	return p.placeAmong(u, now, candidates)
+	return p.placeAmong(u, candidates, remote)
 }
 
 // fast returns the candidates that are not known to be slow.
@@ -55,7 +57,7 @@
 	return list
 }
 
-func (p *Planner) placeAmong(u *unit, now time.Time, candidates []candidate) []*worker {
+func (p *Planner) placeAmong(u *unit, candidates []candidate, remote bool) []*worker {
 	step := u.spec()
 	if !p.enough(candidates, u.size()) {
 		return nil
@@ -69,13 +71,18 @@
 		if places := p.pickRack(candidates, u.size()); places != nil && step.DataRack == "" {
 			return places
 		}
-		if now.Sub(u.since) < splitPatience {
+		if !remote {
 			return nil
 		}
 	}
 	return pick(candidates, u.size())
 }
 
+// mayWorkRemotely tells whether a unit has waited long enough to be spread over racks, or away from its data.
+func (u *unit) mayWorkRemotely(now time.Time) bool {
+	return now.Sub(u.since) >= splitPatience
+}
+
 func (p *Planner) enough(candidates []candidate, size int) bool {
 	total := 0
 	for i := range candidates {
@@ -85,7 +92,8 @@
 }
 
 // candidates lists the workers that can take at least one task of a unit.
-func (p *Planner) candidates(u *unit, now time.Time, free room) []candidate {
+func (p *Planner) candidates(u *unit, free room) []candidate {
+	now := p.now
 	step := u.spec()
 	var list []candidate
 	for _, w := range p.order {
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"auburnstack/core/endpoint"
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 )
@@ -21,6 +22,7 @@
 // Plan returns the actions that the events since the last call have made possible. Placements become visible as
 // changes that have to be stored; their starts are returned by a later call.
 func (p *Planner) Plan(now time.Time) []Action {
+	p.now = now
 	p.ExpireLeases(now)
 	p.unblockDue(now)
 	p.stopStalled(now)
@@ -93,8 +95,8 @@
 		}
 		return w.free()
 	}
-	places := p.placeIn(u, now, beside)
-	if places == nil && now.Sub(u.since) >= keptPatience {
+	places := p.placeIn(u, beside, false)
+	if places == nil && (now.Sub(u.since) >= keptPatience || spare.kept[endpoint.Rack(u.spec().DataRack)]) {
 		places = p.place(u, now)
 	}
 	return places
@@ -110,7 +112,7 @@
 	label    string
 	dataRack string
 	sameRack bool
-	patient  bool
+	remote   bool
 	beside   bool
 	// unit is set for units with conditions of their own.
 	unit *unit
@@ -120,7 +122,7 @@
 	step := u.spec()
 	d := demand{
 		service: u.job.queue.Service, priority: u.job.queue.Priority, size: u.size(), needs: step.Needs, label: step.Label,
-		dataRack: step.DataRack, sameRack: step.SameRack, patient: now.Sub(u.since) < splitPatience,
+		dataRack: step.DataRack, sameRack: step.SameRack, remote: u.mayWorkRemotely(now),
 		beside: now.Sub(u.since) < keptPatience,
 	}
 	// Guarantees differ by account, and so do the workers of units with a spread limit or earlier failures.
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -46,6 +46,8 @@
 	// dirty lists the jobs whose progress has changed since it was last taken.
 	dirty   map[graph.ID]*jobState
 	actions []Action
+	// now is the time of the decision that is being made.
+	now time.Time
 	// changed is set when an event may have made a decision possible.
 	changed bool
 	speeds  *speeds
--- a/core/planner/preempt.go
+++ b/core/planner/preempt.go
@@ -36,9 +36,9 @@
 	if len(victims) == 0 {
 		return nil
 	}
-	best := p.cheapestRack(u, victims, now)
+	best := p.cheapestRack(u, victims)
 	if best == nil {
-		best = p.evict(u, victims, func(u *unit, free room) []*worker { return p.placeIn(u, now, free) })
+		best = p.evict(u, victims, func(u *unit, free room) []*worker { return p.placeIn(u, free, u.mayWorkRemotely(now)) })
 	}
 	if best == nil {
 		return nil
@@ -51,7 +51,7 @@
 
 // cheapestRack returns the eviction that costs least among those that give a unit one rack, or nil. A unit that may go
 // anywhere is tried in each rack too, as a whole rack of work is seldom spread further than it must be.
-func (p *Planner) cheapestRack(u *unit, victims []victim, now time.Time) *eviction {
+func (p *Planner) cheapestRack(u *unit, victims []victim) *eviction {
 	inRacks := map[endpoint.Rack][]victim{}
 	var racks []endpoint.Rack
 	for _, v := range victims {
@@ -69,7 +69,7 @@
 			continue
 		}
 		e := p.evict(u, inRacks[rack], func(u *unit, free room) []*worker {
-			return pick(inRack(p.candidates(u, now, free), rack), u.size())
+			return pick(inRack(p.candidates(u, free), rack), u.size())
 		})
 		if e != nil && (best == nil || e.loss < best.loss) {
 			best = e
