Records are read with time for slow links, and weak VMs let others lead

After the loss of all VMs a successor on a link of 10 Mbit/s could not read 400 jobs within the one second that bounds other calls, and began again for ever.

The handicap was not measured by itself.

--- a/io/coordinator/inbox.go
+++ b/io/coordinator/inbox.go
@@ -15,9 +15,9 @@
 	term *term
 }
 
-// followInbox starts to report. What the term knows already is reported once more and changes nothing.
-func (t *term) followInbox() *mirror.Mirror {
-	options := mirror.Options{Prefix: InboxPrefix, Wait: inboxWait, Timeout: storeTimeout}
+// followInbox starts to report what comes after a revision.
+func (t *term) followInbox(from store.Revision) *mirror.Mirror {
+	options := mirror.Options{Prefix: InboxPrefix, From: from, Wait: inboxWait, Timeout: loadTimeout}
 	return mirror.New(t.config.Store, options, t.config.Log, &inbox{term: t})
 }
 
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -23,6 +23,8 @@
 	tick = 100 * time.Millisecond
 	// storeTimeout bounds a call to the store, beyond the time for which a watch waits.
 	storeTimeout = time.Second
+	// loadTimeout bounds the reading of all records, which may take seconds on a slow link.
+	loadTimeout = 10 * time.Second
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 100 * time.Millisecond
 	// eventBuffer is the number of events that may wait for the control goroutine.
@@ -92,7 +94,8 @@
 func (t *term) run(ctx context.Context) {
 	defer t.work.Wait()
 	begun := time.Now()
-	if !t.load(ctx) {
+	at, loaded := t.load(ctx)
+	if !loaded {
 		return
 	}
 	t.config.Log.Info("took over", "jobs", len(t.revisions), "took", time.Since(begun).String(), "fence", t.role.Fence)
@@ -101,35 +104,36 @@
 		t.post(workersChanged{workers: list})
 	})
 	defer workers.Close()
-	inbox := t.followInbox()
+	inbox := t.followInbox(at)
 	defer inbox.Close()
 	defer t.closeLinks()
 	t.control(ctx)
 }
 
-// load reads everything that was accepted and recorded. It tells whether the term goes on.
-func (t *term) load(ctx context.Context) bool {
+// load reads everything that was accepted and recorded, and returns the revision from which the inbox is followed. It
+// tells whether the term goes on.
+func (t *term) load(ctx context.Context) (store.Revision, bool) {
 	for ctx.Err() == nil {
-		err := t.read(ctx)
+		at, err := t.read(ctx)
 		if err == nil {
-			return true
+			return at, true
 		}
 		t.config.Log.Warn("records not read", "error", err.Error())
 		wait.For(ctx, retryPause)
 	}
-	return false
+	return 0, false
 }
 
-func (t *term) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+func (t *term) read(ctx context.Context) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	inbox, err := t.config.Store.Range(ctx, InboxPrefix)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	records, err := t.config.Store.Range(ctx, progressPrefix)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	progress := map[graph.ID]graph.Progress{}
 	t.revisions = map[graph.ID]store.Revision{}
@@ -143,7 +147,7 @@
 		t.revisions[record.ID] = item.Revision
 	}
 	t.restore(decodeInbox(inbox.Items, t.skipped), progress)
-	return nil
+	return inbox.At, nil
 }
 
 // skipped reports a record that can't be read.
--- a/io/election/candidate.go
+++ b/io/election/candidate.go
@@ -85,6 +85,8 @@
 	self  Leader
 	clock boottime.Clock
 	log   hclog.Logger
+	// handicap is how long the candidate lets others go first.
+	handicap time.Duration
 	// idle tells whether a leader was heard lately, so that the key need not be looked at.
 	idle func() bool
 	// lead runs a term and returns when it has ended.
@@ -100,6 +102,8 @@
 
 // Callbacks connect a candidate to its VM.
 type Callbacks struct {
+	// Handicap is how long the candidate lets others go first, as its VM is weaker.
+	Handicap time.Duration
 	Idle func() bool
 	Lead func(ctx context.Context, role *Role)
 	Seen func(leader Leader, fence store.Revision)
@@ -110,7 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Candidate{
 		store: s, self: self, clock: clock, log: log,
-		idle: callbacks.Idle, lead: callbacks.Lead, seen: callbacks.Seen,
+		handicap: callbacks.Handicap, idle: callbacks.Idle, lead: callbacks.Lead, seen: callbacks.Seen,
 		wakes: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}),
 	}
 	go c.run(ctx)
@@ -159,6 +163,10 @@
 	defer cancel()
 	item, err := c.store.Get(call, Key)
 	if errors.Is(err, store.ErrNotFound) {
+		wait.For(ctx, c.handicap)
+		if c.idle() {
+			return nil
+		}
 		return c.acquire(ctx)
 	}
 	if err != nil {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -27,6 +27,8 @@
 // Options tell what is followed and how.
 type Options struct {
 	Prefix string
+	// From is a revision up to which everything is known, so that the first reading is left out; 0 for none.
+	From store.Revision
 	// Wait is how long one watch waits, Gather the pause after each, so that several changes come with the next.
 	Wait, Gather time.Duration
 	// Timeout bounds the delivery of a call and its answer.
@@ -70,12 +72,16 @@
 
 // follow reads everything once and then watches until a call fails or the history is gone.
 func (m *Mirror) follow(ctx context.Context) error {
-	page, err := m.read(ctx)
-	if err != nil {
-		return err
+	at := m.options.From
+	m.options.From = 0
+	if at == 0 {
+		page, err := m.read(ctx)
+		if err != nil {
+			return err
+		}
+		m.listener.Replaced(page.Items, page.At)
+		at = page.At
 	}
-	m.listener.Replaced(page.Items, page.At)
-	at := page.At
 	for {
 		changes, err := m.watch(ctx, at)
 		if errors.Is(err, store.ErrCompacted) {
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -50,6 +50,8 @@
 	Workers runner.Dialer
 	Codecs  Codecs
 	Planner planner.Settings
+	// Handicap is how long the VM lets others take the lead first, as it is weaker.
+	Handicap time.Duration
 	Clock   boottime.Clock
 	Metrics *metrics.Set
 	Log     hclog.Logger
@@ -96,6 +98,7 @@
 	n.candidate = election.New(n.store, election.Leader{
 		Name: config.Name, Address: config.Address, Incarnation: config.Incarnation,
 	}, config.Clock, config.Log, election.Callbacks{
+		Handicap: config.Handicap,
 		Idle: n.members.hearsLeader, Lead: n.lead, Seen: n.members.leaderSeen,
 	})
 	n.loops.Add(1)
