--- a/io/election/candidate.go
+++ b/io/election/candidate.go
@@ -104,9 +104,9 @@
 type Callbacks struct {
 	// Handicap is how long the candidate lets others go first, as its VM is weaker.
 	Handicap time.Duration
-	Idle func() bool
-	Lead func(ctx context.Context, role *Role)
-	Seen func(leader Leader, fence store.Revision)
+	Idle     func() bool
+	Lead     func(ctx context.Context, role *Role)
+	Seen     func(leader Leader, fence store.Revision)
 }
 
 // New starts a candidate.
--- a/io/site/matrix_test.go
+++ b/io/site/matrix_test.go
@@ -115,6 +115,8 @@
 		f.store.SetFaults(memstore.Faults{Slow: 240 * time.Millisecond})
 		time.Sleep(f.seconds(words[1]))
 		f.store.SetFaults(memstore.Faults{})
+	case "slow-link":
+		f.store.SetFaults(memstore.Faults{PerItem: 60 * time.Millisecond})
 	case "replies-lost":
 		f.store.SetFaults(memstore.Faults{LoseReplies: 0.4})
 		time.Sleep(f.seconds(words[1]))
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -52,9 +52,9 @@
 	Planner planner.Settings
 	// Handicap is how long the VM lets others take the lead first, as it is weaker.
 	Handicap time.Duration
-	Clock   boottime.Clock
-	Metrics *metrics.Set
-	Log     hclog.Logger
+	Clock    boottime.Clock
+	Metrics  *metrics.Set
+	Log      hclog.Logger
 }
 
 // Node is a VM of a site without its listeners towards callers.
@@ -99,7 +99,7 @@
 		Name: config.Name, Address: config.Address, Incarnation: config.Incarnation,
 	}, config.Clock, config.Log, election.Callbacks{
 		Handicap: config.Handicap,
-		Idle: n.members.hearsLeader, Lead: n.lead, Seen: n.members.leaderSeen,
+		Idle:     n.members.hearsLeader, Lead: n.lead, Seen: n.members.leaderSeen,
 	})
 	n.loops.Add(1)
 	go func() {
--- a/standin/memstore/faults.go
+++ b/standin/memstore/faults.go
@@ -10,6 +10,8 @@
 	Down, Refuse bool
 	// Slow is added to the time of each call.
 	Slow time.Duration
+	// PerItem is the time that each item of a range takes, as on a slow link.
+	PerItem time.Duration
 	// LoseReplies is the share of writes that are done without an answer, LateWrites the share of writes that are done
 	// up to three seconds later without an answer.
 	LoseReplies, LateWrites float64
--- a/standin/memstore/service.go
+++ b/standin/memstore/service.go
@@ -186,3 +186,18 @@
 	s.wake()
 	return s.revision, nil
 }
+
+// page reads all items under a prefix.
+func (s *Service) page(prefix string) store.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	page := store.Page{At: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			page.Items = append(page.Items, item)
+		}
+	}
+	sort.Slice(page.Items, func(i, j int) bool { return page.Items[i].Key < page.Items[j].Key })
+	return page
+}
