--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -34,8 +34,8 @@
 	return p.placeIn(u, (*worker).free, u.mayWorkRemotely(now))
 }
 
-// placeIn places a unit in the room that is given. Unless it may be remote, it gets one rack or its data's rack if it asks
-// for that, or no place.
+// placeIn places a unit in the room that is given. Unless it may be remote, it gets one rack or its data's rack if it
+// asks for that, or no place.
 func (p *Planner) placeIn(u *unit, free room, remote bool) []*worker {
 	candidates := p.candidates(u, free)
 	if u.job.queue.Priority == 0 {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -1,5 +1,5 @@
-// Package mirror follows the items under a prefix of the store: it reads them all once, then watches, and begins anew when a
-// call fails or the store has discarded its history.
+// Package mirror follows the items under a prefix of the store: it reads them all once, then watches, and begins anew
+// when a call fails or the store has discarded its history.
 package mirror
 
 import (
