Test model: a task that ended as done has finished, also when its worker's lease lapsed before the end was acknowledged

Ruled out: a lost or repeated run (one run, one end); a wrong state (the task did end as done).

Change: the model keeps two facts apart: an end that still forbids a new start (forgotten when the lease lapses, as before), and that the task has ended as done, which is what the matrix asks for. The check in the matrix is as it was. Queries that nothing used are removed.

--- a/standin/memworker/fleet.go
+++ b/standin/memworker/fleet.go
@@ -31,10 +31,12 @@
 	random  *rand.Rand
 	workers map[endpoint.Name]*machine
 	plans   map[graph.ID]Plan
-	// started counts the runs of each task; done holds the tasks that have finished.
-	started map[graph.TaskID]int
-	failed  map[graph.TaskID]int
-	done    map[graph.TaskID]bool
+	// failed counts the failed runs of each task; done holds the tasks whose end as done still counts.
+	failed map[graph.TaskID]int
+	done   map[graph.TaskID]bool
+	// finished holds the tasks that have ever ended as done. Unlike done, it keeps those whose end was listed on when the
+	// lease lapsed: such a task may run again, but a job that counts it as finished is right to.
+	finished map[graph.TaskID]bool
 	// Violations lists what must never happen.
 	violations []string
 	// lateShare is the share of orders that are carried out late and without an answer.
@@ -45,7 +47,7 @@
 func New(seed uint64) *Fleet {
 	return &Fleet{
 		random: rand.New(rand.NewPCG(seed, ^seed)), workers: map[endpoint.Name]*machine{}, plans: map[graph.ID]Plan{},
-		started: map[graph.TaskID]int{}, failed: map[graph.TaskID]int{}, done: map[graph.TaskID]bool{},
+		failed: map[graph.TaskID]int{}, done: map[graph.TaskID]bool{}, finished: map[graph.TaskID]bool{},
 	}
 }
 
@@ -138,26 +140,7 @@
 func (f *Fleet) Done(task graph.TaskID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.done[f.unitOf(task)]
-}
-
-// Started counts the runs of a task.
-func (f *Fleet) Started(task graph.TaskID) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.started[task]
-}
-
-// Running counts the tasks that run.
-func (f *Fleet) Running() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	count := 0
-	for _, w := range f.workers {
-		w.expire()
-		count += len(w.runs)
-	}
-	return count
+	return f.finished[f.unitOf(task)]
 }
 
 func (f *Fleet) violate(format string, words ...any) {
--- a/standin/memworker/machine.go
+++ b/standin/memworker/machine.go
@@ -100,6 +100,7 @@
 	w.wake()
 	if kind == planner.EndDone {
 		w.fleet.done[w.fleet.unitOf(task)] = true
+		w.fleet.finished[w.fleet.unitOf(task)] = true
 	}
 	if r.plan.Gang > 0 && kind != planner.EndDone && kind != planner.EndBroken {
 		w.fleet.breakGang(task, r.id)
--- a/standin/memworker/start.go
+++ b/standin/memworker/start.go
@@ -49,7 +49,6 @@
 
 func (w *machine) begin(s runner.Start) {
 	f := w.fleet
-	f.started[s.Task]++
 	r := &run{id: s.Run, plan: f.plans[s.Task.Job], arrived: time.Now()}
 	w.runs[s.Task] = r
 	w.highest[s.Task] = s.Run
