--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -20,8 +20,8 @@
 	ended  time.Time
 	// begun is set once a task has been seen running.
 	begun bool
-	// version grows with each change of the progress; storedVersion is the one that was stored last.
-	version, storedVersion uint64
+	// version grows with each change of the progress.
+	version uint64
 	// remaining counts the units that have not finished.
 	remaining int
 	// firstStart is when the first task was ordered; stops counts the stopped units by reason.
@@ -57,6 +57,9 @@
 	for _, record := range progress.Units {
 		p.restoreUnit(j, record, now)
 	}
+	if len(p.order) != len(p.workers) {
+		p.sortWorkers()
+	}
 	if !j.state.Final() {
 		p.unblock(j, now)
 	}
@@ -83,10 +86,7 @@
 		w, known := p.workers[name]
 		if !known {
 			// A worker that is not registered may still run what it ran until its lease has ended.
-			w = &worker{members: map[*member]struct{}{}, leaseEnd: p.leaseEnd(now)}
-			w.Name = name
-			p.workers[name] = w
-			p.sortWorkers()
+			w = p.addWorker(name, now)
 		}
 		places = append(places, w)
 	}
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -183,16 +183,20 @@
 // stopLeftovers stops the members of gangs that have finished elsewhere.
 func (p *Planner) stopLeftovers(now time.Time) {
 	for _, w := range p.order {
-		for _, m := range w.sortedMembers() {
+		for _, m := range w.membersWith(func(m *member) bool { return m.leftOver(now) }) {
+			m.stopped = now
 			u := m.unit
-			if u.phase == finished && m.state == active && now.Sub(later(u.finishedAt, m.stopped)) > leftoverLimit {
-				m.stopped = now
-				p.actions = append(p.actions, Stop{Worker: w.Name, Task: u.task(m.index), Run: u.run, Reason: NotWanted})
-			}
+			p.actions = append(p.actions, Stop{Worker: w.Name, Task: u.task(m.index), Run: u.run, Reason: NotWanted})
 		}
 	}
 }
 
+// leftOver tells whether a member runs on although its gang has finished, and was not told to stop lately.
+func (m *member) leftOver(now time.Time) bool {
+	since := later(m.unit.finishedAt, m.stopped)
+	return m.unit.phase == finished && m.state == active && now.Sub(since) > leftoverLimit
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -244,8 +248,9 @@
 		if !w.answers {
 			continue
 		}
-		for _, m := range w.sortedMembers() {
+		for _, m := range w.membersWith(func(m *member) bool { return m.stalled(now) }) {
 			if !m.stalled(now) {
+				// The stop of another member has ended this one's unit.
 				continue
 			}
 			w.health.failed(m.unit.job.ID, now)
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -57,7 +57,6 @@
 	}
 	ended := change.Progress.State.Final() && !j.stored.Final()
 	j.stored = change.Progress.State
-	j.storedVersion = change.Version
 	j.each(func(u *unit) {
 		if u.phase == recording && u.recordVersion <= change.Version {
 			p.start(u, now)
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"strings"
 	"time"
 
 	"auburnstack/core/graph"
@@ -138,9 +137,16 @@
 }
 
 func (w *worker) sortedMembers() []*member {
-	list := make([]*member, 0, len(w.members))
+	return w.membersWith(func(*member) bool { return true })
+}
+
+// membersWith returns the members that fulfil a condition, in the order of their units.
+func (w *worker) membersWith(condition func(*member) bool) []*member {
+	var list []*member
 	for m := range w.members {
-		list = append(list, m)
+		if condition(m) {
+			list = append(list, m)
+		}
 	}
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].unit != list[j].unit {
@@ -152,7 +158,7 @@
 }
 
 func sortByName(list []*worker) {
-	sort.Slice(list, func(i, j int) bool { return strings.Compare(string(list[i].Name), string(list[j].Name)) < 0 })
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 }
 
 // reserve gives a unit's tasks their places.
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -58,9 +58,7 @@
 func (p *Planner) setWorker(info roster.Worker, now time.Time) {
 	w, known := p.workers[info.Name]
 	if !known {
-		w = &worker{members: map[*member]struct{}{}}
-		w.leaseEnd = p.leaseEnd(now)
-		p.workers[info.Name] = w
+		w = p.addWorker(info.Name, now)
 	}
 	if known && w.Incarnation != 0 && info.Incarnation > w.Incarnation {
 		p.reborn(w, now)
@@ -73,6 +71,14 @@
 	w.listed = true
 }
 
+// addWorker adds a worker on which a predecessor may have renewed a lease just now.
+func (p *Planner) addWorker(name endpoint.Name, now time.Time) *worker {
+	w := &worker{members: map[*member]struct{}{}, leaseEnd: p.leaseEnd(now)}
+	w.Name = name
+	p.workers[name] = w
+	return w
+}
+
 // reborn ends everything that ran in an earlier incarnation.
 func (p *Planner) reborn(w *worker, now time.Time) {
 	for _, m := range w.sortedMembers() {
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -22,6 +22,7 @@
 	"auburnstack/io/peer"
 	"auburnstack/io/platform"
 	"auburnstack/io/settings"
+	"auburnstack/io/wait"
 )
 
 // Daemon is a node with its listeners.
@@ -117,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.VM.DrainTime)
 	defer cancel()
 	d.node.Leave()
-	pause(ctx, d.settings.VM.LeaveGrace)
+	wait.For(ctx, d.settings.VM.LeaveGrace)
 	d.node.Refuse()
 	d.callerServer.Close(ctx)
 	d.operatorServer.Close(ctx)
--- a/io/entry/node.go
+++ b/io/entry/node.go
@@ -29,6 +29,7 @@
 	"auburnstack/io/peer"
 	"auburnstack/io/platform"
 	"auburnstack/io/tables"
+	"auburnstack/io/wait"
 )
 
 const (
@@ -219,7 +220,7 @@
 		if n.Follower.Age(time.Now()) > staleAfter {
 			n.limited(ctx, callLimit, n.refreshTables)
 		}
-		pause(ctx, refreshInterval)
+		wait.For(ctx, refreshInterval)
 	}
 }
 
@@ -233,7 +234,7 @@
 	n.limited(ctx, callLimit+watchWait, func(ctx context.Context) {
 		if err := n.Follower.Watch(ctx, watchWait); err != nil && ctx.Err() == nil {
 			n.log.Warn("the tables could not be watched", "error", err)
-			pause(ctx, refreshInterval)
+			wait.For(ctx, refreshInterval)
 		}
 	})
 }
@@ -245,7 +246,7 @@
 func (n *Node) every(ctx context.Context, interval time.Duration, work func(context.Context)) {
 	for ctx.Err() == nil {
 		n.limited(ctx, callLimit, work)
-		pause(ctx, interval)
+		wait.For(ctx, interval)
 	}
 }
 
@@ -254,10 +255,3 @@
 	defer cancel()
 	work(ctx)
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -176,15 +176,20 @@
 
 // passOn lets another VM answer, or returns the given answer when none does.
 func (i *Intake) passOn(ctx context.Context, c *call, otherwise answer.Answer) answer.Answer {
-	if c.relayed {
-		return otherwise
-	}
-	if a, answered := i.relay(ctx, c); answered {
+	if a, answered := i.relayOnce(ctx, c); answered {
 		return a
 	}
 	return otherwise
 }
 
+// relayOnce lets another VM answer, unless one has passed the request on already.
+func (i *Intake) relayOnce(ctx context.Context, c *call) (answer.Answer, bool) {
+	if c.relayed || ctx.Err() != nil {
+		return answer.Answer{}, false
+	}
+	return i.relay(ctx, c)
+}
+
 // relay lets another VM answer. A submission that one of them may have stored without answering is handed in again
 // until its outcome is known, as its ID makes it one job.
 func (i *Intake) relay(ctx context.Context, c *call) (answer.Answer, bool) {
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -105,10 +105,7 @@
 			}
 			return i.outdated(ctx, c, conflict)
 		case errors.Is(err, store.ErrRefused) && !uncertain:
-			if a, answered := i.relayOnce(ctx, c); answered {
-				return a
-			}
-			return i.refusal(err.Error())
+			return i.passOn(ctx, c, i.refusal(err.Error()))
 		case !errors.Is(err, store.ErrRefused):
 			uncertain = true
 		}
@@ -139,10 +136,3 @@
 	}
 	return i.handle(ctx, c)
 }
-
-func (i *Intake) relayOnce(ctx context.Context, c *call) (answer.Answer, bool) {
-	if c.relayed || ctx.Err() != nil {
-		return answer.Answer{}, false
-	}
-	return i.relay(ctx, c)
-}
