--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -71,6 +71,21 @@
 	AbsenceLimit int `json:",omitempty"`
 }
 
+// Reserved returns what a worker must have left for one task. Tasks that fill use the processor time that others leave,
+// so none is set aside for them.
+func (s *Step) Reserved() resources.Amounts {
+	reserved := s.Needs
+	if s.Fills {
+		reserved.CPU = 0
+	}
+	return reserved
+}
+
+// Serves tells whether the step's tasks answer users of their own, with a bound on their tail latency.
+func (s *Step) Serves() bool {
+	return s.LongRunning && s.TailTarget > 0
+}
+
 // Limits of a submission.
 const (
 	// MaxSpec bounds the spec in bytes.
--- a/core/graph/task.go
+++ b/core/graph/task.go
@@ -46,3 +46,20 @@
 func (t TaskID) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
+
+// Of returns the step that a task belongs to.
+func (t TaskID) Of() StepID {
+	return StepID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step}
+}
+
+// StepID identifies a step of one occurrence of a job.
+type StepID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+}
+
+// String returns the job's ID, occurrence and step, separated by dots.
+func (s StepID) String() string {
+	return fmt.Sprintf("%s.%d.%d", s.Job, s.Occurrence, s.Step)
+}
--- a/core/planner/action.go
+++ b/core/planner/action.go
@@ -5,7 +5,7 @@
 	"auburnstack/core/graph"
 )
 
-// Action is a decision to be carried out: Start or Stop.
+// Action is a decision to be carried out: Start, Stop, Pace or Consult.
 type Action interface {
 	isAction()
 }
@@ -17,6 +17,8 @@
 	Run        graph.Run
 	Spec       string
 	Checkpoint string
+	// Ticket permits the start on a worker of an advised queue; empty on other queues.
+	Ticket string
 }
 
 // Stop orders a worker to end a run. It repeats until the run has ended.
@@ -27,8 +29,24 @@
 	Reason StopReason
 }
 
-func (Start) isAction() {}
-func (Stop) isAction()  {}
+// Pace orders a worker to let a run work at a share of its speed.
+type Pace struct {
+	Worker  endpoint.Name
+	Task    graph.TaskID
+	Run     graph.Run
+	Percent int
+}
+
+// Consult asks the adviser which of some workers may run a step.
+type Consult struct {
+	Step    graph.StepID
+	Workers []endpoint.Name
+}
+
+func (Start) isAction()   {}
+func (Stop) isAction()    {}
+func (Pace) isAction()    {}
+func (Consult) isAction() {}
 
 // StopReason tells why a run is stopped.
 type StopReason string
--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -16,26 +16,46 @@
 	if checkpoint != "" {
 		u.checkpoint = newer(u.checkpoint, checkpoint)
 	}
+	served := u.spec().LongRunning && m.atWork()
 	p.judge(m, kind, now)
 	m.release()
 	p.changed = true
-	switch kind {
-	case EndDone:
+	switch {
+	case kind == EndDone && !u.spec().LongRunning:
 		p.unitDone(u, m, now)
-	case EndFailed:
+	case kind == EndFailed:
 		if u.failedRun != u.run {
 			u.failedRun = u.run
 			u.failures++
 		}
-		u.avoid = append(u.avoid, m.worker)
+		if !served {
+			u.shun(m.worker)
+		}
 		p.unitBroken(u, now)
 	default:
 		p.unitBroken(u, now)
 	}
 }
 
+// maxAvoided bounds the workers that a unit stays away from. Long-running tasks may fail any number of times.
+const maxAvoided = 4
+
+// shun makes a unit stay away from a worker on which it has failed.
+func (u *unit) shun(w *worker) {
+	u.avoid = append(u.avoid, w)
+	if len(u.avoid) > maxAvoided {
+		u.avoid = u.avoid[1:]
+	}
+}
+
 // judge lets a worker's health follow from the end of a run.
 func (p *Planner) judge(m *member, kind EndKind, now time.Time) {
+	if m.unit.spec().LongRunning {
+		if kind == EndFailed && !m.atWork() {
+			m.worker.health.failed(m.unit.job.ID, now)
+		}
+		return
+	}
 	switch kind {
 	case EndDone:
 		m.worker.health.succeeded()
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -95,6 +95,11 @@
 		m.order()
 		m.settled = now
 		m.percentSince = now
+		m.percent = -1
+		m.pace = unknownPace
+		if u.spec().Fills {
+			m.worker.pacing = pacing{percent: adoptedPace, changed: now}
+		}
 	}
 	u.phase = running
 	u.started = now
@@ -265,6 +270,7 @@
 	for id, j := range p.jobs {
 		if j.stored.Final() && !j.hasMembers() && now.Sub(j.ended) > p.settings.RetainFinal {
 			delete(p.jobs, id)
+			p.forgetAdvice(id)
 			forgotten = append(forgotten, id)
 		}
 	}
@@ -300,6 +306,15 @@
 	return pending
 }
 
+// Queue returns the queue of a job.
+func (p *Planner) Queue(id graph.ID) (policy.Queue, bool) {
+	j, known := p.jobs[id]
+	if !known {
+		return policy.Queue{}, false
+	}
+	return j.queue, true
+}
+
 // Has tells whether a job is known.
 func (p *Planner) Has(id graph.ID) bool {
 	_, known := p.jobs[id]
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -44,8 +44,11 @@
 	Task       graph.TaskID
 	Run        graph.Run
 	Checkpoint string
-	// Percent is the progress of the task, 0 to 100.
+	// Percent is the progress of the task, 0 to 100. A long-running task is at work at 100.
 	Percent int
+	// Reading covers the last half second: the tail latency in milliseconds of a task that serves, the processor use in
+	// thousandths of a core of any other.
+	Reading float64
 }
 
 // EndedRun is a run that has ended on a worker.
@@ -119,6 +122,7 @@
 	if run.Checkpoint != "" {
 		m.unit.checkpoint = newer(m.unit.checkpoint, run.Checkpoint)
 	}
+	m.reading = run.Reading
 	if run.Percent != m.percent {
 		m.percent, m.percentSince = run.Percent, now
 	}
@@ -157,6 +161,8 @@
 	Accepted Outcome = iota
 	// Rejected orders had no effect and will have none.
 	Rejected
+	// NotPermitted orders had no effect, as the worker did not accept the ticket.
+	NotPermitted
 	// Unanswered orders may have been carried out, or will be.
 	Unanswered
 )
@@ -181,6 +187,9 @@
 		if !m.unit.job.begun {
 			m.unit.job.begun = true
 		}
+	case NotPermitted:
+		p.revokePermit(m.unit, w)
+		p.memberEnded(m, endLost, "", now)
 	case Rejected:
 		p.memberEnded(m, endLost, "", now)
 	case Unanswered:
@@ -215,6 +224,13 @@
 		}
 		m := p.lookup(w, a.Task, a.Run)
 		return m != nil && m.state != ended
+	case Pace:
+		w, known := p.workers[a.Worker]
+		if !known {
+			return false
+		}
+		m := p.lookup(w, a.Task, a.Run)
+		return m != nil && m.state == active && m.pace == a.Percent
 	default:
 		return false
 	}
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -39,10 +39,14 @@
 	}
 	objective := p.objective(u.job)
 	work := p.speeds.expect(u.job.Queue, u.spec().Estimate)
+	priority := u.job.queue.Priority
+	if u.urgent() {
+		priority = 0
+	}
 	return rank{
 		unit:     u,
-		late:     now.Add(work).After(begin.Add(hopeless * objective)),
-		priority: u.job.queue.Priority,
+		late:     !u.spec().LongRunning && now.Add(work).After(begin.Add(hopeless*objective)),
+		priority: priority,
 		deadline: begin.Add(objective),
 	}
 }
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -100,6 +100,9 @@
 		if w.Service != u.job.queue.Service || !p.accepts(w, now) || step.Label != "" && !w.HasLabel(step.Label) {
 			continue
 		}
+		if _, permitted := p.permitted(u, w, now); u.advised() && !permitted {
+			continue
+		}
 		if now.Sub(u.since) < avoidPatience && slices.Contains(u.avoid, w) {
 			continue
 		}
@@ -108,9 +111,9 @@
 			limit = min(limit, step.SpreadLimit-w.sharing(u))
 		}
 		available := free(w)
-		if count := available.Count(step.Needs, limit); count > 0 {
+		if count := available.Count(step.Reserved(), limit); count > 0 {
 			list = append(list, candidate{
-				worker: w, count: count, available: available.Accelerators, left: available.Sub(step.Needs.Times(count)),
+				worker: w, count: count, available: available.Accelerators, left: available.Sub(step.Reserved().Times(count)),
 			})
 		}
 	}
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -27,6 +27,9 @@
 	p.unblockDue(now)
 	p.stopStalled(now)
 	p.stopLeftovers(now)
+	p.vacateRetired()
+	p.paceFillers(now)
+	p.consult(now)
 	if p.changed {
 		p.changed = false
 		p.launchVacated(now)
@@ -59,7 +62,7 @@
 			spare[service] = p.spare(service, now)
 		}
 		wanted := u.spec().Needs.Accelerators * int64(u.size())
-		if u.job.queue.Priority > 0 && !spare[service].allows(wanted) {
+		if !u.urgent() && !spare[service].allows(wanted) {
 			continue
 		}
 		key := u.demand(now)
@@ -67,7 +70,7 @@
 			continue
 		}
 		places := p.placeBeside(u, now, spare[service])
-		if places == nil && u.job.queue.Priority == 0 {
+		if places == nil && u.urgent() {
 			places = p.preemptFor(u, now)
 		}
 		if places == nil {
@@ -86,7 +89,7 @@
 
 // placeBeside places a unit that is not urgent beside the racks that are kept for urgent ones, at first.
 func (p *Planner) placeBeside(u *unit, now time.Time, spare *spareRoom) []*worker {
-	if u.job.queue.Priority == 0 || len(spare.kept) == 0 {
+	if u.urgent() || u.advised() || len(spare.kept) == 0 {
 		return p.place(u, now)
 	}
 	beside := func(w *worker) resources.Amounts {
@@ -121,12 +124,12 @@
 func (u *unit) demand(now time.Time) demand {
 	step := u.spec()
 	d := demand{
-		service: u.job.queue.Service, priority: u.job.queue.Priority, size: u.size(), needs: step.Needs, label: step.Label,
-		dataRack: step.DataRack, sameRack: step.SameRack, remote: u.mayWorkRemotely(now),
+		service: u.job.queue.Service, priority: u.job.queue.Priority, size: u.size(), needs: step.Reserved(),
+		label: step.Label, dataRack: step.DataRack, sameRack: step.SameRack, remote: u.mayWorkRemotely(now),
 		beside: now.Sub(u.since) < keptPatience,
 	}
 	// Guarantees differ by account, and so do the workers of units with a spread limit or earlier failures.
-	if step.SpreadLimit > 0 || len(u.avoid) > 0 || u.job.queue.Priority == 0 {
+	if step.SpreadLimit > 0 || len(u.avoid) > 0 || u.urgent() || u.advised() {
 		d.unit = u
 	}
 	return d
@@ -168,7 +171,7 @@
 // suspendFull suspends the workers of a placement on which stops have not made room in time.
 func (p *Planner) suspendFull(u *unit, now time.Time) {
 	for _, m := range u.members {
-		if !u.spec().Needs.Fits(m.worker.freeNow()) && !m.worker.health.suspended(now) {
+		if !u.spec().Reserved().Fits(m.worker.freeNow()) && !m.worker.health.suspended(now) {
 			m.worker.health.suspend(now)
 		}
 	}
@@ -176,7 +179,11 @@
 
 // stalled tells whether a task that its worker has reported shows no progress.
 func (m *member) stalled(now time.Time) bool {
-	reported := m.state == active && m.unit.phase == running && m.percent >= 0 && m.percent < 100
+	reported := m.state == active && m.unit.phase == running && m.percent >= 0 && m.percent < fullPercent
+	if m.pace != fullPercent {
+		// It was told to work slowly, or not at all.
+		return false
+	}
 	return reported && now.Sub(m.percentSince) >= stallLimit
 }
 
@@ -206,12 +213,12 @@
 
 // launchIfVacated lets a placement be stored once there is room for all of its tasks.
 func (p *Planner) launchIfVacated(u *unit) {
-	needs := u.spec().Needs
+	needs := u.spec().Reserved()
 	for _, m := range u.members {
 		room := m.worker.freeNow()
 		for other := range m.worker.members {
 			if other.state == planned && (other.unit.phase == recording || other.unit == u && other != m) {
-				room = room.Sub(other.unit.spec().Needs)
+				room = room.Sub(other.unit.spec().Reserved())
 			}
 		}
 		if !needs.Fits(room) {
@@ -236,7 +243,7 @@
 
 func (p *Planner) stopAll(w *worker, reason StopReason) {
 	for _, m := range w.sortedMembers() {
-		if m.unit.phase == running && m.unit.spec().Checkpoints {
+		if m.unit.phase == running && (m.unit.spec().Checkpoints || m.unit.spec().LongRunning) {
 			p.stopUnit(m.unit, reason)
 		}
 	}
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -51,6 +51,9 @@
 	// changed is set when an event may have made a decision possible.
 	changed bool
 	speeds  *speeds
+	// advice holds what the adviser has said of each step.
+	advice       map[graph.StepID]*advice
+	consultation consultation
 	// headroom is what is kept free for urgent jobs.
 	headroom headroom
 	spread   spread
@@ -66,6 +69,7 @@
 		waiting:  map[*unit]struct{}{},
 		planned:  map[*unit]struct{}{},
 		dirty:    map[graph.ID]*jobState{},
+		advice:   map[graph.StepID]*advice{},
 		speeds:   newSpeeds(),
 	}
 }
--- a/core/planner/preempt.go
+++ b/core/planner/preempt.go
@@ -125,7 +125,7 @@
 func (v victim) free(freed map[*worker]resources.Amounts, n int) {
 	for _, m := range v.unit.members {
 		if m.state != ended && !m.leaving {
-			freed[m.worker] = freed[m.worker].Add(v.unit.spec().Needs.Times(n))
+			freed[m.worker] = freed[m.worker].Add(v.unit.spec().Reserved().Times(n))
 		}
 	}
 }
@@ -161,8 +161,8 @@
 	}
 	sort.Slice(list, func(i, j int) bool {
 		a, b := &list[i], &list[j]
-		if (a.unit.job.queue.Priority == 0) != (b.unit.job.queue.Priority == 0) {
-			return a.unit.job.queue.Priority > 0
+		if a.unit.urgent() != b.unit.urgent() {
+			return b.unit.urgent()
 		}
 		if x, y := a.lossDensity(), b.lossDensity(); x != y {
 			return x < y
@@ -178,6 +178,12 @@
 }
 
 func (p *Planner) mayDisplace(u, v *unit, entitled bool) bool {
+	if v.spec().LongRunning {
+		return entitled && v.job.queue.Priority > 0 && v.job.ClientAccount != u.job.ClientAccount && p.mayTakeOut(v)
+	}
+	if u.spec().LongRunning && u.job.queue.Priority > 0 {
+		return v.job.queue.Priority > 0
+	}
 	if v.job.queue.Priority > u.job.queue.Priority {
 		return true
 	}
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -74,12 +74,17 @@
 	u.resumed = u.checkpoint != ""
 	for _, m := range u.members {
 		m.percent = -1
+		m.pace = fullPercent
 		m.percentSince = now
 		m.order()
 		p.Renewed(m.worker.Name, now)
-		p.actions = append(p.actions, Start{
+		start := Start{
 			Worker: m.worker.Name, Task: u.task(m.index), Run: u.run, Spec: u.job.Spec, Checkpoint: u.checkpoint,
-		})
+		}
+		if held, permitted := p.permitted(u, m.worker, now); permitted {
+			start.Ticket = held.ticket
+		}
+		p.actions = append(p.actions, start)
 	}
 }
 
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -60,6 +62,10 @@
 			{Name: "urgent", Service: "assay", MaxAttempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond},
 			{Name: "long", Service: "assay", Priority: 1, MaxAttempts: 2, Stretch: 3, Target: time.Second},
 			{Name: "batch", Service: "assay", Priority: 2, MaxAttempts: 2, Stretch: 3, Target: 3 * time.Second},
+			{
+				Name: "advised", Service: "assay", Priority: 2, MaxAttempts: 2, Stretch: 3, Target: 3 * time.Second,
+				Advice: &policy.Advice{Decision: 100 * time.Millisecond, Period: 10 * time.Millisecond, Validity: 3 * time.Second},
+			},
 		},
 		Accounts: []policy.Account{{Name: "gold", Guaranteed: 16}, {Name: "silver", Guaranteed: 8}},
 	}
@@ -76,14 +82,19 @@
 	// running holds what was started on each worker and not ended.
 	running map[endpoint.Name]map[graph.TaskID]Start
 	percent map[graph.TaskID]int
-	stored  map[graph.ID]graph.Progress
-	jobs    map[graph.ID]*graph.Job
+	reading map[graph.TaskID]float64
+	// question is what the planner has asked the adviser.
+	question Consult
+	// refuse makes the next start fail for its ticket.
+	refuse bool
+	stored map[graph.ID]graph.Progress
+	jobs   map[graph.ID]*graph.Job
 }
 
 func playSession(t *testing.T, text string) string {
 	p := &player{
 		t: t, now: time.Unix(1000, 0), workers: map[string]*roster.Worker{}, policy: testPolicy(),
-		running: map[endpoint.Name]map[graph.TaskID]Start{}, percent: map[graph.TaskID]int{},
+		running: map[endpoint.Name]map[graph.TaskID]Start{}, percent: map[graph.TaskID]int{}, reading: map[graph.TaskID]float64{},
 		stored: map[graph.ID]graph.Progress{}, jobs: map[graph.ID]*graph.Job{},
 	}
 	p.planner = New(testSettings(), p.policy)
@@ -129,6 +140,22 @@
 		p.percent[p.task(words[1])] = p.number(words[2])
 	case "takeover":
 		p.takeover()
+	default:
+		p.playServing(words)
+	}
+}
+
+// playServing carries out the commands about long-running tasks and advised queues.
+func (p *player) playServing(words []string) {
+	switch words[0] {
+	case "tail":
+		p.reading[p.task(words[1])] = float64(p.number(words[2]))
+	case "retire":
+		p.planner.Retire(endpoint.Name(words[1]), true)
+	case "advise":
+		p.advise(words[1:])
+	case "refuse-ticket":
+		p.refuse = true
 	default:
 		p.t.Fatalf("unknown command %q", words[0])
 	}
@@ -175,7 +202,7 @@
 			n := int64(p.number(accelerators))
 			job.Steps = append(job.Steps, graph.Step{
 				Tasks: p.number(tasks), Estimate: 2 * time.Second,
-				Needs: resources.Amounts{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n},
+				Needs: resources.Amounts{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n}, AbsenceLimit: -1,
 			})
 			continue
 		}
@@ -198,6 +225,14 @@
 		step.After = append(step.After, p.number(value))
 	case "spread":
 		step.SpreadLimit = p.number(value)
+	case "long-running":
+		step.LongRunning = true
+	case "fills":
+		step.Fills = true
+	case "tail-target":
+		step.TailTarget = time.Duration(p.number(value)) * time.Millisecond
+	case "absent":
+		step.AbsenceLimit = p.number(value)
 	case "label":
 		step.Label = value
 	case "data":
@@ -215,10 +250,29 @@
 	for ; d > 0; d -= step {
 		p.now = p.now.Add(min(step, d))
 		p.planner.Tick()
+		p.holdPaced()
 		p.decide()
 	}
 }
 
+// holdPaced lets the workers report that are watched closely.
+func (p *player) holdPaced() {
+	for _, name := range slices.Sorted(maps.Keys(p.running)) {
+		if p.planner.Paced(name) {
+			p.observe(name, nil)
+		}
+	}
+}
+
+// advise answers the open question with tickets for some workers.
+func (p *player) advise(permitted []string) {
+	var tickets []Ticket
+	for _, name := range permitted {
+		tickets = append(tickets, Ticket{Worker: endpoint.Name(name), Text: "ticket-" + name})
+	}
+	p.planner.Consulted(p.question, tickets, p.policy.Queues[3].Advice.Validity, true, p.now)
+}
+
 // end lets a task end as given.
 func (p *player) end(task, how, checkpoint string) {
 	kinds := map[string]EndKind{
@@ -237,14 +291,14 @@
 		p.observe(name, []EndedRun{{Task: id, Run: start.Run, Kind: kinds[how], Checkpoint: checkpoint}})
 		return
 	}
-	p.t.Fatalf("%s does not run", task)
+	p.t.Fatalf("%s does not run after\n%s", task, p.out.String())
 }
 
 // observe reports what runs on a worker.
 func (p *player) observe(name endpoint.Name, ends []EndedRun) {
 	o := Observation{Worker: name, Incarnation: p.workers[string(name)].Incarnation, Sent: p.now, Ended: ends}
 	for id, start := range p.running[name] {
-		o.Runs = append(o.Runs, RunningTask{Task: id, Run: start.Run, Percent: p.percent[id]})
+		o.Runs = append(o.Runs, RunningTask{Task: id, Run: start.Run, Percent: p.percent[id], Reading: p.reading[id]})
 	}
 	sort.Slice(o.Runs, func(i, j int) bool { return o.Runs[i].Task.String() < o.Runs[j].Task.String() })
 	p.planner.Answered(name, true)
@@ -294,11 +348,21 @@
 func (p *player) carryOut(action Action) {
 	switch a := action.(type) {
 	case Start:
-		fmt.Fprintf(&p.out, "start %s run %d on %s %s\n", a.Task, a.Run, a.Worker, a.Checkpoint)
+		fmt.Fprintf(&p.out, "start %s run %d on %s %s\n", a.Task, a.Run, a.Worker, a.Checkpoint+a.Ticket)
+		if p.refuse {
+			p.refuse = false
+			p.planner.StartAnswered(a, NotPermitted, p.now)
+			return
+		}
 		p.running[a.Worker][a.Task] = a
 		p.planner.StartAnswered(a, Accepted, p.now)
 	case Stop:
 		fmt.Fprintf(&p.out, "stop %s run %d on %s %s\n", a.Task, a.Run, a.Worker, a.Reason)
 		p.planner.StopAnswered(a, p.now)
+	case Pace:
+		fmt.Fprintf(&p.out, "pace %s run %d on %s %d\n", a.Task, a.Run, a.Worker, a.Percent)
+	case Consult:
+		fmt.Fprintf(&p.out, "consult %s about %v\n", a.Step, a.Workers)
+		p.question = a
 	}
 }
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -69,6 +69,12 @@
 	return 1
 }
 
+// urgent tells whether a unit may make room by stopping other work. Long-running tasks must be back soon after they
+// have ended, however full the workers are.
+func (u *unit) urgent() bool {
+	return u.job.queue.Priority == 0 || u.spec().LongRunning
+}
+
 func (u *unit) task(member int) graph.TaskID {
 	return graph.TaskID{Job: u.job.ID, Occurrence: u.occurrence, Step: u.step, Index: u.index + member}
 }
@@ -126,6 +132,10 @@
 	// percent is the progress that the worker reported last; percentSince is when it changed.
 	percent      int
 	percentSince time.Time
+	// reading is the worker's last figure of the task, as in RunningTask.
+	reading float64
+	// pace is the share of its speed in percent that was ordered last; it may be unknownPace.
+	pace int
 	// stopped is when the member was last told to stop after its gang had finished.
 	stopped time.Time
 	// leaving is set while the member counts in the worker's leaving amounts.
@@ -168,13 +178,13 @@
 		m := &member{unit: u, index: i, worker: w, state: planned}
 		u.members = append(u.members, m)
 		w.members[m] = struct{}{}
-		w.planned = w.planned.Add(u.spec().Needs)
+		w.planned = w.planned.Add(u.spec().Reserved())
 	}
 }
 
 // order turns a reservation into use.
 func (m *member) order() {
-	needs := m.unit.spec().Needs
+	needs := m.unit.spec().Reserved()
 	m.worker.planned = m.worker.planned.Sub(needs)
 	m.worker.running = m.worker.running.Add(needs)
 	m.state = unknown
@@ -186,12 +196,12 @@
 		return
 	}
 	m.leaving = true
-	m.worker.leaving = m.worker.leaving.Add(m.unit.spec().Needs)
+	m.worker.leaving = m.worker.leaving.Add(m.unit.spec().Reserved())
 }
 
 // release takes a member off its worker.
 func (m *member) release() {
-	needs := m.unit.spec().Needs
+	needs := m.unit.spec().Reserved()
 	switch m.state {
 	case planned:
 		m.worker.planned = m.worker.planned.Sub(needs)
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -29,6 +29,11 @@
 	strangers int
 	health    health
 	pace      pace
+	pacing    pacing
+	// paced is set while tasks that fill work beside tasks that serve.
+	paced bool
+	// retired is set while the worker is to finish what it runs, before its machine's upkeep.
+	retired bool
 }
 
 // free returns what can be planned with once what is being stopped has ended.
@@ -73,7 +78,9 @@
 
 // addWorker adds a worker on which a predecessor may have renewed a lease just now.
 func (p *Planner) addWorker(name endpoint.Name, now time.Time) *worker {
-	w := &worker{members: map[*member]struct{}{}, leaseEnd: p.leaseEnd(now)}
+	w := &worker{
+		members: map[*member]struct{}{}, leaseEnd: p.leaseEnd(now), pacing: pacing{percent: fullPercent},
+	}
 	w.Name = name
 	p.workers[name] = w
 	return w
@@ -142,6 +149,6 @@
 
 // accepts tells whether new tasks may start on a worker.
 func (p *Planner) accepts(w *worker, now time.Time) bool {
-	return w.listed && w.answers && w.strangers == 0 && w.State == roster.Ready &&
+	return w.listed && w.answers && w.strangers == 0 && w.State == roster.Ready && !w.retired &&
 		!p.policy.IsOut(w.FailureDomain) && !w.health.suspended(now)
 }
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -9,6 +9,7 @@
 
 	"auburnstack/core/account"
 	"auburnstack/core/domain"
+	"auburnstack/core/upkeep"
 )
 
 // Version numbers the operators' configurations.
@@ -23,6 +24,10 @@
 	Limits   Limits
 	// Out lists the failure domains in which nothing may start.
 	Out []domain.Name `json:",omitempty"`
+	// Waves lists the upkeep that the operators ask for.
+	Waves []upkeep.Wave `json:",omitempty"`
+	// Unread says which parts could not be read. They are left out, and the rest holds.
+	Unread []string `json:",omitempty"`
 }
 
 // Queue accepts jobs under a host and a path prefix.
@@ -42,8 +47,23 @@
 	Timeout time.Duration
 	// Anonymous queues need no key.
 	Anonymous bool `json:",omitempty"`
-	// Advised queues need a ticket for each start.
-	Advised bool `json:",omitempty"`
+	// Advice is nil for queues whose tasks may start on any worker.
+	Advice *Advice `json:",omitempty"`
+}
+
+// Advice tells how long the adviser takes, which alone knows on which workers the steps of a queue may run. A start
+// needs its ticket.
+type Advice struct {
+	// Decision is the time of one question, and Period that for each worker in it.
+	Decision time.Duration
+	Period   time.Duration
+	// Validity is how long a ticket holds.
+	Validity time.Duration
+}
+
+// Time returns how long a question about a number of workers takes.
+func (a *Advice) Time(workers int) time.Duration {
+	return a.Decision + time.Duration(workers)*a.Period
 }
 
 // Service is a set of workers.
@@ -130,6 +150,16 @@
 	return 0
 }
 
+// HasAdvice tells whether any queue needs tickets.
+func (p *Policy) HasAdvice() bool {
+	for i := range p.Queues {
+		if p.Queues[i].Advice != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // IsOut tells whether nothing may start in a failure domain.
 func (p *Policy) IsOut(name domain.Name) bool {
 	for _, out := range p.Out {
--- /dev/null
+++ b/core/upkeep/script_test.go
@@ -0,0 +1,158 @@
+package upkeep
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/machine"
+)
+
+var update = flag.Bool("update", false, "write what the sessions give as the expected files")
+
+// TestSessions plays each testdata/*.session and compares every decision with the .golden file beside it, byte for byte.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			qt.Assert(t, err, qt.IsNil)
+			got := playSession(t, string(text))
+			golden := strings.TrimSuffix(file, ".session") + ".golden"
+			if *update {
+				qt.Assert(t, os.WriteFile(golden, []byte(got), 0o600), qt.IsNil)
+			}
+			want, err := os.ReadFile(golden)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got, qt.Equals, string(want))
+		})
+	}
+}
+
+// player reads one session: a line is a command, its decisions follow it in the output.
+type player struct {
+	t        *testing.T
+	tracker  *Tracker
+	now      time.Time
+	out      strings.Builder
+	machines map[machine.ID]machine.Machine
+	occupied map[endpoint.Name]Occupancy
+	waves    []Wave
+	records  map[Number]Record
+}
+
+func playSession(t *testing.T, text string) string {
+	p := &player{
+		t: t, tracker: New(nil), now: time.Unix(1000, 0), machines: map[machine.ID]machine.Machine{},
+		occupied: map[endpoint.Name]Occupancy{}, records: map[Number]Record{},
+	}
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		fmt.Fprintln(&p.out, "> "+line)
+		if words := strings.Fields(line); len(words) > 0 && !strings.HasPrefix(line, "#") {
+			p.play(words)
+			p.decide()
+		}
+	}
+	return p.out.String()
+}
+
+// play carries out one command.
+func (p *player) play(words []string) {
+	switch words[0] {
+	case "machine":
+		// machine ID STATE WORKER
+		states := map[string]machine.State{
+			"up": machine.Up, "upkeep": machine.InUpkeep, "down": machine.Down, "moving": machine.Moving,
+		}
+		p.machines[machine.ID(words[1])] = machine.Machine{
+			ID: machine.ID(words[1]), State: states[words[2]], Worker: endpoint.Name(strings.Trim(words[3], "-")),
+		}
+		p.list()
+	case "gone":
+		delete(p.machines, machine.ID(words[1]))
+		p.list()
+	case "worker":
+		kinds := map[string]Occupancy{"empty": Empty, "busy": Busy, "serving": Serving}
+		p.occupied[endpoint.Name(words[1])] = kinds[words[2]]
+	case "wave":
+		p.wave(words[1:])
+	case "after":
+		d, err := time.ParseDuration(words[1])
+		qt.Assert(p.t, err, qt.IsNil)
+		p.now = p.now.Add(d)
+	case "answer":
+		outcomes := map[string]Outcome{"begun": Begun, "refused": Refused, "impossible": Impossible, "unknown": Unknown}
+		p.tracker.Answered(Begin{Wave: 1, Machine: machine.ID(words[1])}, outcomes[words[2]], p.now)
+	case "takeover":
+		var records []Record
+		for _, r := range p.records {
+			records = append(records, r)
+		}
+		p.tracker = New(records)
+		p.tracker.SetWaves(p.waves, p.now)
+		p.list()
+	default:
+		p.t.Fatalf("unknown command %q", words[0])
+	}
+}
+
+// wave reads: NUMBER SECONDS MAXDOWN MACHINE...
+func (p *player) wave(words []string) {
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(words[i])
+		qt.Assert(p.t, err, qt.IsNil)
+		numbers[i] = n
+	}
+	wave := Wave{
+		Number: Number(numbers[0]), Duration: time.Duration(numbers[1]) * time.Second, MaxDown: numbers[2],
+	}
+	for _, id := range words[len(numbers):] {
+		wave.Machines = append(wave.Machines, machine.ID(id))
+	}
+	p.waves = append(p.waves, wave)
+	p.tracker.SetWaves(p.waves, p.now)
+}
+
+func (p *player) list() {
+	var list []machine.Machine
+	for _, m := range p.machines {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	p.tracker.SetMachines(list)
+}
+
+func (p *player) decide() {
+	var stored []Record
+	for _, action := range p.tracker.Decide(p.now, func(name endpoint.Name) Occupancy { return p.occupied[name] }) {
+		switch a := action.(type) {
+		case Retire:
+			fmt.Fprintf(&p.out, "retire %s %t\n", a.Worker, a.Retired)
+		case Begin:
+			fmt.Fprintf(&p.out, "begin %s of wave %d\n", a.Machine, a.Wave)
+		case Report:
+			fmt.Fprintf(&p.out, "report wave %d begun %v complete %t ordered %v\n",
+				a.Record.Number, a.Record.Begun, a.Record.Complete, a.Record.Ordered)
+			p.records[a.Record.Number] = a.Record
+			stored = append(stored, a.Record)
+		}
+	}
+	for _, record := range stored {
+		p.tracker.Recorded(record)
+	}
+	if len(stored) > 0 {
+		p.decide()
+	}
+}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -11,7 +11,10 @@
 
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
+	"auburnstack/core/vm"
+	"auburnstack/io/adviser"
 	"auburnstack/io/election"
+	"auburnstack/io/inventory"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/rosterwatch"
 	"auburnstack/io/runner"
@@ -20,13 +23,18 @@
 
 // Config is what a coordinator is made of.
 type Config struct {
-	Store    store.Store
-	Dialer   runner.Dialer
-	Roster   rosterwatch.Codec
-	Policy   func() *policywatch.Snapshot
-	Settings planner.Settings
-	Metrics  *Metrics
-	Log      hclog.Logger
+	Store  store.Store
+	Dialer runner.Dialer
+	Roster rosterwatch.Codec
+	Policy func() *policywatch.Snapshot
+	// Name is the VM's, under which it orders upkeep.
+	Name      vm.Name
+	Adviser   adviser.Adviser
+	Inventory inventory.Service
+	Upkeep    UpkeepCodec
+	Settings  planner.Settings
+	Metrics   *Metrics
+	Log       hclog.Logger
 }
 
 // Coordinator runs the terms of a VM.
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -48,6 +48,13 @@
 	accepted bool
 }
 
+// paceAnswered is the outcome of a change of pace.
+type paceAnswered struct {
+	pace planner.Pace
+	// settled is false when the change may not have been carried out and has to be repeated.
+	settled bool
+}
+
 // flushed tells that changes were stored, at a revision each.
 type flushed struct {
 	changes   []planner.Change
@@ -71,6 +78,7 @@
 func (workerGone) isEvent()     {}
 func (startAnswered) isEvent()  {}
 func (stopAnswered) isEvent()   {}
+func (paceAnswered) isEvent()   {}
 func (flushed) isEvent()        {}
 func (policyChanged) isEvent()  {}
 func (question) isEvent()       {}
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -17,6 +17,8 @@
 const (
 	// holdWait is how long a worker may hold back its answer until a run ends.
 	holdWait = time.Second
+	// pacedWait takes its place on workers where tasks that fill work beside tasks that serve.
+	pacedWait = 300 * time.Millisecond
 	// holdTimeout bounds the delivery of a hold and its answer.
 	holdTimeout = 450 * time.Millisecond
 	// holdPause is the pause after a hold without an answer.
@@ -39,6 +41,9 @@
 	// probes makes the link ask at once, without waiting for an end.
 	probes chan struct{}
 
+	// paced is set while the worker has to be watched closely.
+	paced atomic.Bool
+
 	// probed is set when a probe has ended the last hold.
 	probed atomic.Bool
 
@@ -107,6 +112,9 @@
 	hold.Seen = l.seen
 	if l.clock != 0 && !l.silent {
 		hold.Wait = holdWait
+		if l.paced.Load() {
+			hold.Wait = pacedWait
+		}
 	}
 	l.mu.Unlock()
 	sent := time.Now()
--- a/io/coordinator/metrics.go
+++ b/io/coordinator/metrics.go
@@ -41,6 +41,10 @@
 	m.count(`auburnstack_stops_total{reason=%q}`, string(reason))
 }
 
+func (m *Metrics) paced() {
+	m.count(`auburnstack_paces_total`)
+}
+
 func (m *Metrics) orderFailed(err error) {
 	m.count(`auburnstack_orders_failed_total{error=%q}`, errors.Cause(err).Error())
 }
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -24,9 +24,19 @@
 	worker endpoint.Name
 	task   graph.TaskID
 	run    graph.Run
-	stop   bool
+	kind   orderKind
 }
 
+// orderKind tells apart the orders about one run.
+type orderKind int
+
+// The kinds of orders.
+const (
+	startOrder orderKind = iota
+	stopOrder
+	paceOrder
+)
+
 // order is one that has not been answered yet.
 type order struct {
 	action   planner.Action
@@ -51,7 +61,9 @@
 	case planner.Start:
 		return orderKey{worker: a.Worker, task: a.Task, run: a.Run}
 	case planner.Stop:
-		return orderKey{worker: a.Worker, task: a.Task, run: a.Run, stop: true}
+		return orderKey{worker: a.Worker, task: a.Task, run: a.Run, kind: stopOrder}
+	case planner.Pace:
+		return orderKey{worker: a.Worker, task: a.Task, run: a.Run, kind: paceOrder}
 	default:
 		return orderKey{}
 	}
@@ -60,7 +72,9 @@
 // give sends an order unless it is under way already.
 func (o *orders) give(action planner.Action) {
 	key := keyOf(action)
-	if _, open := o.open[key]; open {
+	if earlier, open := o.open[key]; open {
+		// A newer pace replaces the one that waits for its answer.
+		earlier.action = action
 		return
 	}
 	o.log(action)
@@ -79,6 +93,10 @@
 		o.term.config.Metrics.stopped(a.Reason)
 		o.term.config.Log.Info("stopping", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
 			"worker", a.Worker, "reason", a.Reason)
+	case planner.Pace:
+		o.term.config.Metrics.paced()
+		o.term.config.Log.Debug("pacing", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
+			"worker", a.Worker, "percent", a.Percent)
 	}
 }
 
@@ -99,17 +117,20 @@
 func (o *orders) send(key orderKey, entry *order) {
 	l, linked := o.term.links[key.worker]
 	// A start would renew the lease of a worker that does not answer.
-	if !linked || !o.term.role.Valid() || l.isSilent() && !key.stop {
+	if !linked || !o.term.role.Valid() || l.isSilent() && key.kind == startOrder {
 		entry.next = time.Now().Add(orderRetry)
 		return
 	}
 	entry.inFlight = true
+	action := entry.action
 	o.term.spawn(func() {
-		switch a := entry.action.(type) {
+		switch a := action.(type) {
 		case planner.Start:
 			o.start(l, a)
 		case planner.Stop:
 			o.stop(l, a)
+		case planner.Pace:
+			o.pace(l, a)
 		}
 	})
 }
@@ -119,13 +140,16 @@
 	defer cancel()
 	_, err := l.worker.Start(ctx, runner.Start{
 		Task: a.Task, Run: a.Run, Fence: runner.Fence(o.term.role.Fence), Spec: a.Spec,
-		Until: l.until(time.Now()), Checkpoint: a.Checkpoint,
+		Until: l.until(time.Now()), Checkpoint: a.Checkpoint, Ticket: a.Ticket,
 	})
 	answer := startAnswered{start: a, outcome: planner.Accepted}
 	if err != nil {
 		answer.reason = err.Error()
 		answer.outcome = planner.Unanswered
-		if isRefusal(err) {
+		switch {
+		case errors.Is(err, runner.ErrTicket):
+			answer.outcome = planner.NotPermitted
+		case isRefusal(err):
 			answer.outcome = planner.Rejected
 		}
 		o.term.config.Metrics.orderFailed(err)
@@ -158,6 +182,31 @@
 	o.term.post(stopAnswered{stop: a, accepted: accepted})
 }
 
+func (o *orders) pace(l *link, a planner.Pace) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	err := l.worker.Pace(ctx, runner.Pace{
+		Task: a.Task, Run: a.Run, Percent: a.Percent, Fence: runner.Fence(o.term.role.Fence),
+	})
+	if err != nil {
+		o.term.config.Metrics.orderFailed(err)
+		o.term.config.Log.Warn("pace not confirmed", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
+			"worker", a.Worker, "percent", a.Percent, "error", err.Error())
+	}
+	o.term.post(paceAnswered{pace: a, settled: err == nil || isRefusal(err)})
+}
+
+func (o *orders) paceAnswered(e paceAnswered) {
+	key := keyOf(e.pace)
+	if entry, open := o.open[key]; open && entry.action != planner.Action(e.pace) {
+		// Another pace was decided meanwhile.
+		entry.inFlight = false
+		o.send(key, entry)
+		return
+	}
+	o.answered(key, e.settled)
+}
+
 func (o *orders) startAnswered(e startAnswered) {
 	o.answered(keyOf(e.start), e.outcome != planner.Unanswered)
 }
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -12,6 +12,7 @@
 	"auburnstack/core/planner"
 	"auburnstack/core/policy"
 	"auburnstack/core/roster"
+	"auburnstack/core/upkeep"
 	"auburnstack/io/election"
 	"auburnstack/io/rosterwatch"
 	"auburnstack/io/store"
@@ -55,6 +56,12 @@
 	// probed is when the workers of a failure domain were last asked out of turn.
 	probed     map[domain.Name]time.Time
 	lastForget time.Time
+	waves      *upkeep.Tracker
+	// reports wait to be stored; reporting is set while one is under way.
+	reports   []upkeep.Record
+	reporting bool
+	// wavesActive is read by any goroutine.
+	wavesActive atomic.Bool
 	// work counts the goroutines of the term.
 	work sync.WaitGroup
 }
@@ -107,6 +114,7 @@
 	inbox := t.followInbox(at)
 	defer inbox.Close()
 	defer t.closeLinks()
+	t.spawn(func() { t.watchMachines(ctx) })
 	t.control(ctx)
 }
 
@@ -147,6 +155,9 @@
 		t.revisions[record.ID] = item.Revision
 	}
 	t.restore(decodeInbox(inbox.Items, t.skipped), progress)
+	if err := t.readWaves(ctx); err != nil {
+		return 0, err
+	}
 	return inbox.At, nil
 }
 
@@ -238,6 +249,26 @@
 		t.flushed(e, now)
 	case policyChanged:
 		t.planner.SetPolicy(t.policy())
+		t.waves.SetWaves(t.policy().Waves, now)
+	default:
+		t.handleService(e, now)
+	}
+}
+
+// handleService handles the answers of the platform's services and of callers.
+func (t *term) handleService(e event, now time.Time) {
+	switch e := e.(type) {
+	case paceAnswered:
+		t.orders.paceAnswered(e)
+	case consulted:
+		t.planner.Consulted(e.question, e.advice.Tickets, e.advice.Validity, e.answered, now)
+	case machinesListed:
+		t.waves.SetMachines(e.machines)
+	case waveRecorded:
+		t.reporting = false
+		t.waves.Recorded(e.record)
+	case maintained:
+		t.waves.Answered(e.begin, e.outcome, now)
 	case question:
 		state, known := t.planner.State(e.id)
 		e.reply <- Job{State: state, Known: known}
@@ -305,14 +336,27 @@
 			t.planner.Renewed(name, sent)
 		}
 	}
+	t.maintainWaves(now)
 	for _, action := range t.planner.Plan(now) {
+		if question, isQuestion := action.(planner.Consult); isQuestion {
+			t.consult(question)
+			continue
+		}
 		t.orders.give(action)
 	}
+	t.watchPaced()
 	t.orders.retry(now)
 	t.flush()
 	t.releaseAcks()
 }
 
+// watchPaced lets the links to workers with tasks that may disturb each other ask more often.
+func (t *term) watchPaced() {
+	for name, l := range t.links {
+		l.paced.Store(t.planner.Paced(name))
+	}
+}
+
 // count publishes how many jobs of each queue wait.
 func (t *term) count() {
 	pending := t.planner.Pending()
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -141,7 +141,7 @@
 		return
 	}
 	if current.Policy != nil {
-		decoded.Out = current.Policy.Out
+		decoded.Out, decoded.Waves = current.Policy.Out, current.Policy.Waves
 	}
 	w.adopt(&Snapshot{
 		Policy: decoded, Revision: item.Revision, ChangedAt: current.ChangedAt, Proven: time.Now(),
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -48,6 +48,16 @@
 	// Until is when the lease ends; the start has no effect when it arrives later.
 	Until      WorkerTime
 	Checkpoint string
+	// Ticket permits the start where the queue is advised; empty elsewhere.
+	Ticket string
+}
+
+// Pace lets a run work at a share of its speed.
+type Pace struct {
+	Task    graph.TaskID
+	Run     graph.Run
+	Percent int
+	Fence   Fence
 }
 
 // Stop orders the end of a run. A run that has not begun never will.
@@ -65,6 +75,8 @@
 	ErrRejected = errors.New("the worker has rejected the order")
 	// ErrNoRoom reports a start that was rejected since the worker lacks room.
 	ErrNoRoom = errors.New("the worker lacks room")
+	// ErrTicket reports a start that was rejected since its ticket does not hold.
+	ErrTicket = errors.New("the worker does not accept the ticket")
 	// ErrUnanswered reports an order without an answer.
 	ErrUnanswered = errors.New("the worker has not answered")
 	// ErrUnreachable reports an order that was never sent.
@@ -83,6 +95,8 @@
 	Start(ctx context.Context, start Start) (WorkerTime, error)
 	// Stop ends a run.
 	Stop(ctx context.Context, stop Stop) error
+	// Pace changes how fast a run works.
+	Pace(ctx context.Context, pace Pace) error
 }
 
 // Dialer finds the connection to a worker.
--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -24,6 +24,7 @@
 	"auburnstack/core/policy"
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
+	"auburnstack/core/upkeep"
 	"auburnstack/core/vm"
 	"auburnstack/io/relay"
 	"auburnstack/io/store"
@@ -36,6 +37,8 @@
 	testHost    = "site.example"
 	urgentQueue = "/urgent/"
 	batchQueue  = "/batch/"
+	// advisedQueue is that of jobs whose starts need tickets.
+	advisedQueue = "/advised/"
 )
 
 // testCodec reads records that hold the product's own types as JSON.
@@ -58,6 +61,15 @@
 	return p, errors.WithStack(err)
 }
 
+type upkeepCodec struct{}
+
+func (upkeepCodec) StatusKey(number upkeep.Number) string { return fmt.Sprintf("status/%d", number) }
+
+func (upkeepCodec) EncodeStatus(record upkeep.Record) ([]byte, error) {
+	value, err := json.Marshal(record)
+	return value, errors.WithStack(err)
+}
+
 type jobCodec struct{}
 
 func (jobCodec) DecodeJob(body []byte) (*graph.Job, error) {
@@ -154,11 +166,14 @@
 	store   *memstore.Service
 	workers *memworker.Fleet
 	names   []endpoint.Name
-	network *network
-	vms     []*testVM
-	log     hclog.Logger
-	begun   time.Time
-	serial  int
+	// inventory has a machine for each worker; waves is what the operators ask for.
+	inventory *memworker.Inventory
+	waves     []upkeep.Wave
+	network   *network
+	vms       []*testVM
+	log       hclog.Logger
+	begun     time.Time
+	serial    int
 }
 
 // testVM is a VM that can be killed and started again.
@@ -190,6 +205,7 @@
 		})
 		f.register(name)
 	}
+	f.inventory = memworker.NewInventory(f.workers, f.replaced)
 	for i := range vms {
 		v := &testVM{
 			fleet: f, name: vm.Name(fmt.Sprintf("vm-%d", i)),
@@ -207,13 +223,28 @@
 	f.store.Put("servers/"+string(name), value)
 }
 
+// replaced follows the workers that an upkeep has ended or brought.
+func (f *fleet) replaced(gone, come endpoint.Name) {
+	if gone != "" {
+		f.store.Remove("servers/" + string(gone))
+	}
+	if come != "" {
+		f.register(come)
+	}
+}
+
 func (f *fleet) putPolicy(version policy.Version) {
 	value, err := json.Marshal(policy.Policy{
 		Version: version,
 		Queues: []policy.Queue{
 			{Name: "urgent", Host: testHost, Prefix: urgentQueue, Service: "assay", MaxAttempts: 3, Stretch: 2},
 			{Name: "batch", Host: testHost, Prefix: batchQueue, Service: "assay", Priority: 2, MaxAttempts: 3, Stretch: 3},
+			{
+				Name: "advised", Host: testHost, Prefix: advisedQueue, Service: "assay", Priority: 1, MaxAttempts: 3, Stretch: 3,
+				Advice: &policy.Advice{Decision: 50 * time.Millisecond, Period: 5 * time.Millisecond, Validity: 3 * time.Second},
+			},
 		},
+		Waves:    f.waves,
 		Accounts: []policy.Account{{Name: "refiner", Keys: []policy.Key{policy.Digest(testKey)}, Guaranteed: 32}},
 	})
 	qt.Assert(f.t, err, qt.IsNil)
@@ -225,8 +256,8 @@
 	v.lives++
 	v.node = New(Config{
 		Name: v.name, Incarnation: fmt.Sprintf("%s-%d", v.name, v.lives), Address: v.address,
-		Peers: dialer{network: f.network, self: v.address}, Store: v.client, Workers: f.workers,
-		Codecs: Codecs{Policy: policyCodec{testCodec{"op/"}}, Roster: testCodec{"servers/"}, Jobs: jobCodec{}},
+		Peers: dialer{network: f.network, self: v.address}, Store: v.client, Workers: f.workers, Adviser: f.workers, Inventory: f.inventory,
+		Codecs: Codecs{Policy: policyCodec{testCodec{"op/"}}, Roster: testCodec{"servers/"}, Jobs: jobCodec{}, Upkeep: upkeepCodec{}},
 		Planner: planner.Settings{
 			LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, RemoteFactor: 3,
 			EarlyStart: 250 * time.Millisecond, RetainFinal: time.Hour,
@@ -271,7 +302,7 @@
 	f.t.Helper()
 	f.serial++
 	id := graph.ID(fmt.Sprintf("%016x", f.serial))
-	plan.Needs = steps[0].Needs
+	plan.Needs = steps[0].Reserved()
 	f.workers.SetPlan(id, plan)
 	body, err := json.Marshal(graph.Job{Steps: steps})
 	qt.Assert(f.t, err, qt.IsNil)
@@ -336,6 +367,7 @@
 func oneStep(tasks int, gang bool, accelerators int64) []graph.Step {
 	return []graph.Step{{
 		Tasks: tasks, Gang: gang, Estimate: 2 * time.Second,
-		Needs: resources.Amounts{CPU: 1000, Memory: 1000, Accelerators: accelerators},
+		Needs:        resources.Amounts{CPU: 1000, Memory: 1000, Accelerators: accelerators},
+		AbsenceLimit: -1,
 	}}
 }
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -17,10 +17,12 @@
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
 	"auburnstack/core/vm"
+	"auburnstack/io/adviser"
 	"auburnstack/io/boottime"
 	"auburnstack/io/coordinator"
 	"auburnstack/io/election"
 	"auburnstack/io/intake"
+	"auburnstack/io/inventory"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay"
 	"auburnstack/io/rosterwatch"
@@ -33,6 +35,7 @@
 	Policy policywatch.Codec
 	Roster rosterwatch.Codec
 	Jobs   intake.Codec
+	Upkeep coordinator.UpkeepCodec
 }
 
 // Config is what a node is made of.
@@ -48,8 +51,11 @@
 	Seeds   []netip.AddrPort
 	Store   store.Store
 	Workers runner.Dialer
-	Codecs  Codecs
-	Planner planner.Settings
+	Adviser adviser.Adviser
+	// Inventory lists the machines on which workers live.
+	Inventory inventory.Service
+	Codecs    Codecs
+	Planner   planner.Settings
 	// Handicap is how long the VM lets others take the lead first, as it is weaker.
 	Handicap time.Duration
 	Clock    boottime.Clock
@@ -83,7 +89,8 @@
 	n.members = newMembers(n.self, config.Seeds)
 	n.coordinator = coordinator.New(coordinator.Config{
 		Store: n.store, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
-		Policy:  func() *policywatch.Snapshot { return n.watcher.Current() },
+		Policy: func() *policywatch.Snapshot { return n.watcher.Current() }, Name: config.Name,
+		Adviser: config.Adviser, Inventory: config.Inventory, Upkeep: config.Codecs.Upkeep,
 		Metrics: coordinator.NewMetrics(config.Metrics), Log: config.Log,
 	})
 	ready := make(chan struct{})
@@ -154,6 +161,9 @@
 func (n *Node) policyAdopted(snapshot *policywatch.Snapshot, fromStore bool) {
 	n.config.Log.Info("configuration adopted", "version", snapshot.Policy.Version, "revision", snapshot.Revision,
 		"fromStore", fromStore, "queues", len(snapshot.Policy.Queues), "out", len(snapshot.Policy.Out))
+	for _, mistake := range snapshot.Policy.Unread {
+		n.config.Log.Error("part of the configuration left out", "version", snapshot.Policy.Version, "error", mistake)
+	}
 	n.coordinator.PolicyChanged()
 	if fromStore {
 		n.members.wakePush()
--- /dev/null
+++ b/io/site/serving_test.go
@@ -0,0 +1,124 @@
+package site
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/graph"
+	"auburnstack/core/machine"
+	"auburnstack/core/upkeep"
+	"auburnstack/standin/memworker"
+)
+
+// serving is a job whose tasks run until it is canceled.
+func serving(tasks, absent int, target time.Duration) ([]graph.Step, memworker.Plan) {
+	steps := oneStep(tasks, false, 2)
+	steps[0].LongRunning, steps[0].AbsenceLimit, steps[0].TailTarget = true, absent, target
+	return steps, memworker.Plan{LongRunning: true, Tasks: tasks, AbsenceLimit: absent, TailTarget: target}
+}
+
+// awaitRunning waits until a number of a job's tasks run, and returns how many do after a time.
+func (f *fleet) awaitRunning(id graph.ID, want int, limit time.Duration) int {
+	deadline := time.Now().Add(limit)
+	for {
+		running := f.workers.Running(id)
+		if running == want || time.Now().After(deadline) {
+			return running
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestAdvisedJobs runs jobs whose starts need tickets, also across a takeover: all finish, on permitted workers only.
+func TestAdvisedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 3, 8)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		var jobs []graph.ID
+		for i := range 6 {
+			jobs = append(jobs, f.submit(advisedQueue, oneStep(6, i%2 == 0, 2), memworker.Plan{
+				Work: 2 * time.Second, Advised: true, Gang: 6 * ((i + 1) % 2),
+			}))
+			time.Sleep(500 * time.Millisecond)
+		}
+		v := f.awaitLeader()
+		v.kill()
+		time.Sleep(time.Second)
+		v.restart()
+		qt.Check(t, f.awaitAll(advisedQueue, jobs, graph.Complete, settleTime), qt.HasLen, 0)
+		qt.Check(t, f.workers.TicketRefusals(), qt.Equals, 0)
+		f.checkNothingViolated()
+	})
+}
+
+// TestServingBesideFilling runs tasks that fill beside tasks that serve: these stay within their bound, and the others
+// finish once they are left more.
+func TestServingBesideFilling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 3, 2)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		steps, plan := serving(2, 0, 100*time.Millisecond)
+		service := f.submit(batchQueue, steps, plan)
+		qt.Check(t, f.awaitRunning(service, 2, 10*time.Second), qt.Equals, 2)
+		fill := oneStep(4, false, 0)
+		fill[0].Fills, fill[0].Needs.CPU = true, 8000
+		filling := f.submit(batchQueue, fill, memworker.Plan{Work: 8 * time.Second, Fills: true})
+		qt.Check(t, f.awaitAll(batchQueue, []graph.ID{filling}, graph.Complete, settleTime), qt.HasLen, 0)
+		v := f.awaitLeader()
+		v.kill()
+		time.Sleep(time.Second)
+		v.restart()
+		qt.Check(t, f.awaitRunning(service, 2, 10*time.Second), qt.Equals, 2)
+		f.checkNothingViolated()
+	})
+}
+
+// TestWaves maintains all machines of a site, one and two at a time, under tasks of which one may be out of service, and
+// with a takeover in between.
+func TestWaves(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			maxDown := 1 + int(seed%2)
+			f := newFleet(t, seed, 3, 4)
+			defer f.close()
+			time.Sleep(2 * time.Second)
+			steps, plan := serving(4, 1, 0)
+			service := f.submit(batchQueue, steps, plan)
+			batch := f.submit(batchQueue, oneStep(8, false, 1), memworker.Plan{Work: 3 * time.Second})
+			qt.Check(t, f.awaitRunning(service, 4, 10*time.Second), qt.Equals, 4)
+			wave := upkeep.Wave{Number: 1, Duration: 30 * time.Second, MaxDown: maxDown}
+			for _, name := range f.names {
+				wave.Machines = append(wave.Machines, machine.ID("machine-of-"+name))
+			}
+			f.inventory.SetWave(wave)
+			f.waves = []upkeep.Wave{wave}
+			f.putPolicy(2)
+			time.Sleep(4 * time.Second)
+			v := f.awaitLeader()
+			v.kill()
+			time.Sleep(time.Second)
+			v.restart()
+			time.Sleep(wave.Duration)
+			qt.Check(t, f.inventory.Had(1), qt.IsTrue)
+			qt.Check(t, f.waveRecord().Complete, qt.IsTrue)
+			qt.Check(t, f.awaitRunning(service, 4, 10*time.Second), qt.Equals, 4)
+			qt.Check(t, f.awaitAll(batchQueue, []graph.ID{batch}, graph.Complete, settleTime), qt.HasLen, 0)
+			f.checkNothingViolated()
+		})
+	}
+}
+
+// waveRecord reads what operators see of the first wave.
+func (f *fleet) waveRecord() upkeep.Record {
+	var record upkeep.Record
+	item, err := f.store.Client().Get(f.t.Context(), upkeepCodec{}.StatusKey(1))
+	qt.Assert(f.t, err, qt.IsNil)
+	qt.Assert(f.t, json.Unmarshal(item.Value, &record), qt.IsNil)
+	return record
+}
--- /dev/null
+++ b/standin/memworker/adviser.go
@@ -0,0 +1,61 @@
+package memworker
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/planner"
+	"auburnstack/io/adviser"
+	"auburnstack/io/runner"
+)
+
+const (
+	// permittedOf is the number of workers of which one may not run a step.
+	permittedOf = 3
+	// decisionTime and workerTime are how long a question takes, and each worker in it.
+	decisionTime = 50 * time.Millisecond
+	workerTime   = 5 * time.Millisecond
+	// ticketValidity is how long a ticket holds.
+	ticketValidity = 3 * time.Second
+)
+
+// Consult implements adviser.Adviser.
+func (f *Fleet) Consult(ctx context.Context, step graph.StepID, workers []endpoint.Name) (adviser.Advice, error) {
+	timer := time.NewTimer(decisionTime + time.Duration(len(workers))*workerTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return adviser.Advice{}, adviser.ErrUnanswered
+	case <-timer.C:
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	advice := adviser.Advice{Validity: ticketValidity}
+	for _, name := range workers {
+		w, known := f.workers[name]
+		if !known || !permits(step, name) {
+			continue
+		}
+		text := fmt.Sprintf("%s/%s/%d/%d", step, name, w.info.Incarnation, time.Now().Add(ticketValidity).UnixMilli())
+		f.tickets[text] = time.Now().Add(ticketValidity)
+		advice.Tickets = append(advice.Tickets, planner.Ticket{Worker: name, Text: text})
+	}
+	return advice, nil
+}
+
+// permits tells whether a worker may run a step, which does not change.
+func permits(step graph.StepID, name endpoint.Name) bool {
+	return xxhash.Sum64String(step.String()+string(name))%permittedOf != 0
+}
+
+// accepts tells whether a start carries a ticket of this incarnation that still holds.
+func (w *machine) accepts(s runner.Start) bool {
+	until, known := w.fleet.tickets[s.Ticket]
+	prefix := fmt.Sprintf("%s/%s/%d/", s.Task.Of(), w.info.Name, w.info.Incarnation)
+	return known && time.Now().Before(until) && len(s.Ticket) > len(prefix) && s.Ticket[:len(prefix)] == prefix
+}
--- a/standin/memworker/connection.go
+++ b/standin/memworker/connection.go
@@ -91,6 +91,11 @@
 	}
 }
 
+// Pace implements runner.Worker.
+func (c *connection) Pace(ctx context.Context, pace runner.Pace) error {
+	return c.order(ctx, func(w *machine) error { return w.setPace(pace) })
+}
+
 // Start implements runner.Worker.
 func (c *connection) Start(ctx context.Context, start runner.Start) (runner.WorkerTime, error) {
 	return 0, c.order(ctx, func(w *machine) error { return w.start(start) })
--- a/standin/memworker/fleet.go
+++ b/standin/memworker/fleet.go
@@ -41,6 +41,13 @@
 	violations []string
 	// lateShare is the share of orders that are carried out late and without an answer.
 	lateShare float64
+	// disturbed holds since when a task has been over its bound because of what fills beside it.
+	disturbed map[graph.TaskID]time.Time
+	// tickets holds the end of each ticket; canceled the jobs that their callers have canceled.
+	tickets  map[string]time.Time
+	canceled map[graph.ID]bool
+	// ticketRefusals counts the starts without a ticket that holds.
+	ticketRefusals int
 }
 
 // New returns a fleet without workers.
@@ -48,6 +55,7 @@
 	return &Fleet{
 		random: rand.New(rand.NewPCG(seed, ^seed)), workers: map[endpoint.Name]*machine{}, plans: map[graph.ID]Plan{},
 		failed: map[graph.TaskID]int{}, done: map[graph.TaskID]bool{}, finished: map[graph.TaskID]bool{},
+		disturbed: map[graph.TaskID]time.Time{}, tickets: map[string]time.Time{}, canceled: map[graph.ID]bool{},
 	}
 }
 
@@ -76,6 +84,35 @@
 	f.plans[id] = plan
 }
 
+// Cancel notes that a job's caller has canceled it, so that its tasks may be taken out of service.
+func (f *Fleet) Cancel(id graph.ID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.canceled[id] = true
+}
+
+// TicketRefusals counts the starts that came without a ticket that holds.
+func (f *Fleet) TicketRefusals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ticketRefusals
+}
+
+// Running counts the tasks of a job that run.
+func (f *Fleet) Running(id graph.ID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, w := range f.workers {
+		for task := range w.runs {
+			if task.Job == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // SetLate makes a share of the orders be carried out late and without an answer.
 func (f *Fleet) SetLate(share float64) {
 	f.mu.Lock()
--- a/standin/memworker/machine.go
+++ b/standin/memworker/machine.go
@@ -41,6 +41,8 @@
 	work     *time.Timer
 	alone    *time.Timer
 	stopping bool
+	// pace is the share of its speed in percent.
+	pace int
 }
 
 // kill ends everything on a worker without a trace.
@@ -155,6 +157,7 @@
 	if !runs || r.id != s.Run || r.stopping {
 		return nil
 	}
+	w.checkAbsence(s.Task, r)
 	r.stopping = true
 	if r.work != nil {
 		r.work.Stop()
@@ -180,7 +183,12 @@
 				percent = 0
 			}
 		}
-		held.Runs = append(held.Runs, planner.RunningTask{Task: task, Run: r.id, Percent: percent})
+		if r.atWork() {
+			percent = fullPace
+		}
+		held.Runs = append(held.Runs, planner.RunningTask{
+			Task: task, Run: r.id, Percent: percent, Reading: w.reading(r),
+		})
 	}
 	for _, e := range w.ends {
 		held.Ended = append(held.Ended, e.end)
--- a/standin/memworker/start.go
+++ b/standin/memworker/start.go
@@ -21,6 +21,10 @@
 	if s.Run <= w.highest[s.Task] {
 		return runner.ErrRejected
 	}
+	if w.fleet.plans[s.Task.Job].Advised && !w.accepts(s) {
+		w.fleet.ticketRefusals++
+		return runner.ErrTicket
+	}
 	w.check(s.Task)
 	w.renew(s.Until)
 	w.begin(s)
@@ -49,7 +53,7 @@
 
 func (w *machine) begin(s runner.Start) {
 	f := w.fleet
-	r := &run{id: s.Run, plan: f.plans[s.Task.Job], arrived: time.Now()}
+	r := &run{id: s.Run, plan: f.plans[s.Task.Job], arrived: time.Now(), pace: fullPace}
 	w.runs[s.Task] = r
 	w.highest[s.Task] = s.Run
 	if r.plan.Gang == 0 {
@@ -71,7 +75,7 @@
 
 // work lets a run make progress until it ends.
 func (w *machine) work(task graph.TaskID, r *run) {
-	if w.hangs {
+	if w.hangs || r.plan.LongRunning && !w.failsAll {
 		return
 	}
 	kind := planner.EndDone
