One client of the key-value service: the product's own path uses it too, and the stand-in speaks the platform's protocol

Cause: the store had two clients, two protocols and two stand-ins (io/platform with standin/platform, and io/store with platform.Store and memstore). Change: platform/stub is the server's side of the platform's translations; standin platform serves memstore with it; io/platform, its messages and the old engine are gone or shrunk; a role is given up by removing its key, as the platform's shortest lease is a second. cmd/auburnstack wires the client.

--- a/cmd/auburnstack/serve.go
+++ b/cmd/auburnstack/serve.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"auburnstack/io/entry"
 	"auburnstack/io/settings"
+	"auburnstack/platform"
 )
 
 type serveCommand struct {
@@ -25,7 +27,13 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: string(loaded.VM.Name), Level: hclog.LevelFromString(loaded.Log.Level), JSONFormat: loaded.Log.JSON,
 	})
-	daemon, err := entry.NewDaemon(loaded, log)
+	store := platform.NewStore(loaded.Platform.Address, func(call string, took time.Duration, err error) {
+		if err != nil {
+			log.Debug("call to the store failed", "call", call, "took", took.String(), "error", err.Error())
+		}
+	})
+	defer store.Close()
+	daemon, err := entry.NewDaemon(loaded, store, log)
 	if err != nil {
 		return err
 	}
--- a/io/controller/candidate.go
+++ b/io/controller/candidate.go
@@ -155,7 +155,7 @@
 	c.clear(ctx)
 }
 
-// clear lets the role's key disappear by binding it to a lease that ends at once.
+// clear removes the role's key, if it is still this VM's.
 func (c *candidate) clear(ctx context.Context) {
 	entry, err := c.Store.Get(ctx, c.roleKey)
 	if err != nil {
@@ -165,11 +165,8 @@
 	if json.Unmarshal(entry.Value, &stored) != nil || stored.VM != c.self.Name {
 		return
 	}
-	lease, err := c.Store.GrantLease(ctx, time.Millisecond)
-	if err != nil {
-		return
-	}
-	_, _ = c.Store.CompareAndSwap(ctx, c.roleKey, entry.Revision, nil, lease)
+	// If it fails, the role ends with its lease.
+	_ = c.Store.Remove(ctx, c.roleKey, entry.Revision)
 }
 
 func epochDetail(epoch endpoint.Epoch) string {
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -22,6 +22,7 @@
 	"auburnstack/io/peer"
 	"auburnstack/io/platform"
 	"auburnstack/io/settings"
+	"auburnstack/io/store"
 	"auburnstack/io/wait"
 )
 
@@ -30,7 +31,6 @@
 	settings *settings.Settings
 	log      hclog.Logger
 	node     *Node
-	store    *platform.Client
 	peers    *peer.Pool
 	workers  *worker.Pool
 
@@ -39,8 +39,8 @@
 	peerServer     *peer.Server
 }
 
-// NewDaemon opens the listeners and starts the node.
-func NewDaemon(s *settings.Settings, log hclog.Logger) (*Daemon, error) {
+// NewDaemon opens the listeners and starts the node on a key-value service, which the caller closes after the daemon.
+func NewDaemon(s *settings.Settings, keyValues store.Store, log hclog.Logger) (*Daemon, error) {
 	transport, err := peer.Credentials(s.TLS)
 	if err != nil {
 		return nil, err
@@ -48,7 +48,6 @@
 	d := &Daemon{
 		settings: s,
 		log:      log,
-		store:    platform.NewClient(s.Platform.Address, s.Platform.CallsPerSecond),
 		peers:    peer.NewPool(transport),
 	}
 	d.node = NewNode(Config{
@@ -56,10 +55,11 @@
 			Name: s.VM.Name, FailureDomain: s.VM.FailureDomain,
 			PeerAddress: s.VM.PeerAddress, OperatorAddress: s.VM.OperatorAddress,
 		},
-		Accounts: s.Accounts, Store: d.store, Dialer: d.peers, Scheduler: s.Scheduler,
-		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Log:      log,
-		Observer: d.logEvent,
+		Accounts: s.Accounts, Store: platform.NewClient(keyValues, s.Platform.CallsPerSecond), Dialer: d.peers,
+		Scheduler: s.Scheduler,
+		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:       log,
+		Observer:  d.logEvent,
 		Workers: func(list func() []endpoint.Endpoint) Workers {
 			d.workers = worker.NewPool(list)
 			return d.workers
@@ -126,7 +126,6 @@
 	d.peerServer.Close()
 	d.workers.Close()
 	d.peers.Close()
-	d.store.Close()
 }
 
 // newMetrics returns the metrics that /metrics shows besides those of the process.
--- a/io/entry/links_test.go
+++ b/io/entry/links_test.go
@@ -50,6 +50,13 @@
 	})
 }
 
+func (l *storeLink) Remove(ctx context.Context, key string, expected platform.Revision) error {
+	_, err := throughStore(ctx, l, "remove."+key, func() (struct{}, error) {
+		return struct{}{}, l.fleet.store.Remove(ctx, key, expected)
+	})
+	return err
+}
+
 func (l *storeLink) Changes(
 	ctx context.Context, prefix string, since platform.Revision, wait time.Duration,
 ) (platform.Changes, error) {
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -1,55 +1,78 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
-	"net/http"
-	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"auburnstack/core/endpoint"
+	"auburnstack/core/vm"
+	"auburnstack/io/store"
 )
 
 const (
 	// callTimeout bounds one call that does not wait for changes.
 	callTimeout = time.Second
-	// maxReply bounds a reply in bytes.
-	maxReply = 64 << 20
+	// ListPrefix is that of the keys under which the platform lists what runs.
+	ListPrefix     = "list/"
+	vmPrefix       = ListPrefix + "vm/"
+	endpointPrefix = ListPrefix + "endpoint/"
 )
 
-// Client is a Store over HTTP with JSON bodies.
+// Client is a Store on the key-value service. It keeps to a budget of calls.
 type Client struct {
-	base    string
-	http    *http.Client
+	store   store.Store
 	limiter *rate.Limiter
 
 	mu sync.Mutex
-	// list is the last one read.
-	list List
+	// list is the last one read, with the revision of its newest key and the number of its keys.
+	list   List
+	newest Revision
+	keys   int
 }
 
 // NewClient returns a client that makes at most callsPerSecond calls.
-func NewClient(address netip.AddrPort, callsPerSecond float64) *Client {
-	return &Client{
-		base:    "http://" + address.String(),
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
-		limiter: rate.NewLimiter(rate.Limit(callsPerSecond), int(callsPerSecond)+1),
-	}
+func NewClient(s store.Store, callsPerSecond float64) *Client {
+	return &Client{store: s, limiter: rate.NewLimiter(rate.Limit(callsPerSecond), int(callsPerSecond)+1)}
 }
 
-// Close ends idle connections.
-func (c *Client) Close() {
-	c.http.CloseIdleConnections()
+// call makes one call within the budget and turns its error into one of this package.
+func (c *Client) call(ctx context.Context, timeout time.Duration, do func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := c.limiter.Wait(ctx); err != nil {
+		return errors.WithMessage(ErrBudget, err.Error())
+	}
+	err := do(ctx)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return ErrConflict
+	case errors.Is(err, store.ErrLeaseEnded):
+		return ErrLeaseLapsed
+	default:
+		return errors.WithMessage(ErrUnavailable, err.Error())
+	}
 }
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
-	var entry Entry
-	err := c.call(ctx, callTimeout, PathGet, GetRequest{Key: key}, &entry)
+	entry := Entry{Key: key}
+	err := c.call(ctx, callTimeout, func(ctx context.Context) error {
+		item, err := c.store.Get(ctx, key)
+		if errors.Is(err, store.ErrNotFound) {
+			return nil
+		}
+		entry.Value, entry.Revision = item.Value, item.Revision
+		return err
+	})
 	return entry, err
 }
 
@@ -57,84 +80,163 @@
 func (c *Client) CompareAndSwap(
 	ctx context.Context, key string, expected Revision, value []byte, lease LeaseID,
 ) (Revision, error) {
-	var reply CompareAndSwapReply
-	request := CompareAndSwapRequest{Key: key, Expected: expected, Value: value, Lease: lease}
-	if err := c.call(ctx, callTimeout, PathCompareAndSwap, request, &reply); err != nil {
-		return 0, err
-	}
-	if !reply.Applied {
-		return reply.Revision, ErrConflict
-	}
-	return reply.Revision, nil
+	return c.commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: key, Revision: expected}},
+		Puts:       []store.Put{{Key: key, Value: value, Lease: lease}},
+	})
+}
+
+// Remove implements Store.
+func (c *Client) Remove(ctx context.Context, key string, expected Revision) error {
+	_, err := c.commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: key, Revision: expected}}, Removes: []string{key},
+	})
+	return err
+}
+
+func (c *Client) commit(ctx context.Context, t store.Transaction) (Revision, error) {
+	var revision Revision
+	err := c.call(ctx, callTimeout, func(ctx context.Context) error {
+		var err error
+		revision, err = c.store.Commit(ctx, t)
+		return err
+	})
+	return revision, err
 }
 
 // Changes implements Store.
 func (c *Client) Changes(ctx context.Context, prefix string, since Revision, wait time.Duration) (Changes, error) {
-	var changes Changes
-	err := c.call(ctx, callTimeout+wait, PathChanges, ChangesRequest{Prefix: prefix, Since: since, Wait: wait}, &changes)
+	if since == 0 {
+		return c.readAll(ctx, prefix)
+	}
+	var watched store.Changes
+	var err error
+	compacted := false
+	err = c.call(ctx, callTimeout+wait, func(ctx context.Context) error {
+		watched, err = c.store.Watch(ctx, prefix, since, wait)
+		compacted = errors.Is(err, store.ErrCompacted)
+		if compacted {
+			return nil
+		}
+		return err
+	})
+	if compacted {
+		return c.readAll(ctx, prefix)
+	}
+	changes := Changes{Revision: watched.At}
+	for _, event := range newestOf(watched.Events) {
+		changes.Entries = append(changes.Entries, Entry{Key: event.Key, Value: event.Value, Revision: event.Revision})
+	}
+	return changes, err
+}
+
+// newestOf returns the last event of each key that was not deleted by it.
+func newestOf(events []store.Event) []store.Event {
+	last := map[string]int{}
+	for i, event := range events {
+		last[event.Key] = i
+	}
+	var newest []store.Event
+	for i, event := range events {
+		if last[event.Key] == i && !event.Deleted {
+			newest = append(newest, event)
+		}
+	}
+	return newest
+}
+
+func (c *Client) readAll(ctx context.Context, prefix string) (Changes, error) {
+	var page store.Page
+	err := c.call(ctx, callTimeout, func(ctx context.Context) error {
+		var err error
+		page, err = c.store.Range(ctx, prefix)
+		return err
+	})
+	changes := Changes{Revision: page.At}
+	for _, item := range page.Items {
+		changes.Entries = append(changes.Entries, Entry{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	}
 	return changes, err
 }
 
 // GrantLease implements Store.
 func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
-	var reply LeaseMessage
-	err := c.call(ctx, callTimeout, PathGrantLease, GrantLeaseRequest{TTL: ttl}, &reply)
-	return reply.Lease, err
+	var lease LeaseID
+	err := c.call(ctx, callTimeout, func(ctx context.Context) error {
+		var err error
+		lease, err = c.store.Grant(ctx, ttl)
+		return err
+	})
+	return lease, err
 }
 
 // KeepAlive implements Store.
 func (c *Client) KeepAlive(ctx context.Context, lease LeaseID) error {
-	var reply LeaseMessage
-	if err := c.call(ctx, callTimeout, PathKeepAlive, LeaseMessage{Lease: lease}, &reply); err != nil {
-		return err
-	}
-	if reply.Lapsed {
-		return ErrLeaseLapsed
-	}
-	return nil
+	return c.call(ctx, callTimeout, func(ctx context.Context) error { return c.store.Renew(ctx, lease) })
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context) (List, error) {
-	c.mu.Lock()
-	known := c.list
-	c.mu.Unlock()
-	var reply ListReply
-	err := c.call(ctx, callTimeout, PathList, ListRequest{Known: known.Version}, &reply)
-	if err != nil || reply.Unchanged {
-		return known, err
-	}
+	changes, err := c.readAll(ctx, ListPrefix)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.list = reply.List
-	return reply.List, nil
-}
-
-func (c *Client) call(ctx context.Context, timeout time.Duration, path string, request, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if err := c.limiter.Wait(ctx); err != nil {
-		return errors.WithMessage(ErrBudget, err.Error())
-	}
-	body, err := json.Marshal(request)
 	if err != nil {
-		return errors.WithStack(err)
+		return c.list, err
 	}
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return errors.WithStack(err)
+	var newest Revision
+	for _, entry := range changes.Entries {
+		newest = max(newest, entry.Revision)
 	}
-	call.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(call)
+	if newest == c.newest && len(changes.Entries) == c.keys {
+		return c.list, nil
+	}
+	list, err := decodeList(changes.Entries)
 	if err != nil {
-		return errors.WithMessage(ErrUnavailable, err.Error())
+		return c.list, err
+	}
+	list.Version = c.list.Version + 1
+	c.list, c.newest, c.keys = list, newest, len(changes.Entries)
+	return list, nil
+}
+
+func decodeList(entries []Entry) (List, error) {
+	var list List
+	for _, entry := range entries {
+		switch {
+		case strings.HasPrefix(entry.Key, vmPrefix):
+			var v vm.VM
+			if err := json.Unmarshal(entry.Value, &v); err != nil {
+				return List{}, errors.WithMessage(ErrUnavailable, err.Error())
+			}
+			list.VMs = append(list.VMs, v)
+		case strings.HasPrefix(entry.Key, endpointPrefix):
+			var e endpoint.Endpoint
+			if err := json.Unmarshal(entry.Value, &e); err != nil {
+				return List{}, errors.WithMessage(ErrUnavailable, err.Error())
+			}
+			list.Endpoints = append(list.Endpoints, e)
+		}
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return errors.WithMessage(ErrUnavailable, response.Status)
+	return list, nil
+}
+
+// EncodeList returns the keys and values under which a list is kept.
+func EncodeList(list List) (map[string][]byte, error) {
+	entries := map[string][]byte{}
+	add := func(key string, what any) error {
+		value, err := json.Marshal(what)
+		entries[key] = value
+		return errors.WithStack(err)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(reply); err != nil {
-		return errors.WithMessage(ErrUnavailable, err.Error())
+	for _, v := range list.VMs {
+		if err := add(vmPrefix+string(v.Name), v); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range list.Endpoints {
+		if err := add(endpointPrefix+string(e.Name), e); err != nil {
+			return nil, err
+		}
 	}
-	return nil
+	return entries, nil
 }
--- a/io/platform/store.go
+++ b/io/platform/store.go
@@ -1,4 +1,5 @@
-// Package platform speaks to the platform: its key-value service and its list of VMs and endpoints.
+// Package platform gives the product's own path its view of the key-value service: single keys with compare-and-swap,
+// and the list of VMs and endpoints.
 package platform
 
 import (
@@ -9,13 +10,14 @@
 
 	"auburnstack/core/endpoint"
 	"auburnstack/core/vm"
+	"auburnstack/io/store"
 )
 
 // Revision is a version of the key-value service; 0 means that a key is absent.
-type Revision uint64
+type Revision = store.Revision
 
 // LeaseID identifies a lease of the key-value service; 0 means none.
-type LeaseID uint64
+type LeaseID = store.LeaseID
 
 // Entry is a key with its value and the revision of its last change.
 type Entry struct {
@@ -58,6 +60,8 @@
 	// CompareAndSwap writes a value if the key has the expected revision, and returns the new revision.
 	// With a lease the key disappears when the lease ends. An error other than ErrConflict leaves the effect unknown.
 	CompareAndSwap(ctx context.Context, key string, expected Revision, value []byte, lease LeaseID) (Revision, error)
+	// Remove deletes a key that has the expected revision.
+	Remove(ctx context.Context, key string, expected Revision) error
 	// Changes waits at most the given time for changes under a prefix.
 	Changes(ctx context.Context, prefix string, since Revision, wait time.Duration) (Changes, error)
 	// GrantLease returns a new lease that ends unless it is kept alive.
--- a/standin/command/commands.go
+++ b/standin/command/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"auburnstack/core/domain"
+	"auburnstack/platform/stub"
 	"auburnstack/standin/platform"
 	"auburnstack/standin/site"
 	"auburnstack/standin/worker"
@@ -40,7 +42,17 @@
 			_ = c.load(engine)
 		}
 	}()
-	return serve(ctx, c.Listen, platform.NewHandler(engine))
+	mux := http.NewServeMux()
+	mux.Handle("/", stub.NewStore(engine.Service().Client()))
+	mux.HandleFunc("POST /control/fault", func(w http.ResponseWriter, r *http.Request) {
+		var message struct{ Fault platform.Fault }
+		if err := json.NewDecoder(r.Body).Decode(&message); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		engine.SetFault(message.Fault)
+	})
+	return serve(ctx, c.Listen, mux)
 }
 
 func (c *platformCommand) load(engine *platform.Engine) error {
--- a/standin/memworker/fleet.go
+++ b/standin/memworker/fleet.go
@@ -48,6 +48,9 @@
 	canceled map[graph.ID]bool
 	// ticketRefusals counts the starts without a ticket that holds.
 	ticketRefusals int
+	// started holds the jobs of which a task has started; failures counts the ends as failed of each job.
+	started  map[graph.ID]bool
+	failures map[graph.ID]int
 }
 
 // New returns a fleet without workers.
@@ -56,6 +59,7 @@
 		random: rand.New(rand.NewPCG(seed, ^seed)), workers: map[endpoint.Name]*machine{}, plans: map[graph.ID]Plan{},
 		failed: map[graph.TaskID]int{}, done: map[graph.TaskID]bool{}, finished: map[graph.TaskID]bool{},
 		disturbed: map[graph.TaskID]time.Time{}, tickets: map[string]time.Time{}, canceled: map[graph.ID]bool{},
+		started: map[graph.ID]bool{}, failures: map[graph.ID]int{},
 	}
 }
 
@@ -98,6 +102,20 @@
 	return f.ticketRefusals
 }
 
+// Started tells whether a task of a job has ever started.
+func (f *Fleet) Started(id graph.ID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.started[id]
+}
+
+// Failures counts the runs of a job that have ended as failed.
+func (f *Fleet) Failures(id graph.ID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failures[id]
+}
+
 // Running counts the tasks of a job that run.
 func (f *Fleet) Running(id graph.ID) int {
 	f.mu.Lock()
@@ -127,6 +145,23 @@
 	f.workers[name].cut = cut
 }
 
+// Drain lets a worker say that it leaves, or that it does not.
+func (f *Fleet) Drain(name endpoint.Name, drain bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[name].info.State = roster.Ready
+	if drain {
+		f.workers[name].info.State = roster.Draining
+	}
+}
+
+// Crashed tells whether a worker has ended for good.
+func (f *Fleet) Crashed(name endpoint.Name) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[name].crashed
+}
+
 // Hang makes what runs on a worker stand still.
 func (f *Fleet) Hang(name endpoint.Name) {
 	f.mu.Lock()
--- a/standin/memworker/machine.go
+++ b/standin/memworker/machine.go
@@ -100,6 +100,9 @@
 	w.lastEnd++
 	w.ends = append(w.ends, numberedEnd{number: w.lastEnd, end: planner.EndedRun{Task: task, Run: r.id, Kind: kind}})
 	w.wake()
+	if kind == planner.EndFailed {
+		w.fleet.failures[task.Job]++
+	}
 	if kind == planner.EndDone {
 		w.fleet.done[w.fleet.unitOf(task)] = true
 		w.fleet.finished[w.fleet.unitOf(task)] = true
--- a/standin/memworker/start.go
+++ b/standin/memworker/start.go
@@ -55,6 +55,7 @@
 	f := w.fleet
 	r := &run{id: s.Run, plan: f.plans[s.Task.Job], arrived: time.Now(), pace: fullPace}
 	w.runs[s.Task] = r
+	f.started[s.Task.Job] = true
 	w.highest[s.Task] = s.Run
 	if r.plan.Gang == 0 {
 		w.work(s.Task, r)
