--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,4 @@
 
 generate:
 	cd io/peer && protoc --go_out=peerpb --go_opt=paths=source_relative --go-grpc_out=peerpb --go-grpc_opt=paths=source_relative peer.proto
+	cd io/relay && protoc --go_out=relaypb --go_opt=paths=source_relative --go-grpc_out=relaypb --go-grpc_opt=paths=source_relative relay.proto
--- /dev/null
+++ b/core/graph/fit_test.go
@@ -0,0 +1,44 @@
+package graph
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/resources"
+	"auburnstack/core/roster"
+)
+
+// TestCheckFit refuses only what no workers can ever hold.
+func TestCheckFit(t *testing.T) {
+	sizes := []roster.Size{
+		{Service: "assay", Capacity: resources.Amounts{CPU: 8000, Memory: 8000, Accelerators: 8}, Workers: 4},
+		{Service: "assay", Capacity: resources.Amounts{CPU: 16000, Memory: 4000}, Workers: 2},
+		{Service: "other", Capacity: resources.Amounts{CPU: 64000, Memory: 64000, Accelerators: 64}, Workers: 1},
+	}
+	for _, test := range []struct {
+		name       string
+		step       Step
+		service    string
+		impossible bool
+	}{
+		{"fits one worker", Step{Tasks: 1, Needs: resources.Amounts{Accelerators: 8}}, "assay", false},
+		{"fits a worker without accelerators", Step{Tasks: 1, Needs: resources.Amounts{CPU: 16000}}, "assay", false},
+		{"more accelerators than any worker", Step{Tasks: 1, Needs: resources.Amounts{Accelerators: 9}}, "assay", true},
+		{"more than one kind has at a time", Step{Tasks: 1, Needs: resources.Amounts{CPU: 9000, Accelerators: 1}}, "assay", true},
+		{"many tasks one after the other", Step{Tasks: 99, Needs: resources.Amounts{Accelerators: 8}}, "assay", false},
+		{"a gang that workers that are away may hold", Step{Tasks: 8, Gang: true, Needs: resources.Amounts{Accelerators: 8}}, "assay", false},
+		{"a gang that is too wide", Step{Tasks: 9, Gang: true, Needs: resources.Amounts{Accelerators: 8}}, "assay", true},
+		{"a gang that is spread too far", Step{Tasks: 9, Gang: true, SpreadLimit: 1, Needs: resources.Amounts{Accelerators: 1}}, "assay", true},
+		{"tasks that fill take no processor", Step{Tasks: 1, Fills: true, Needs: resources.Amounts{CPU: 99000}}, "assay", false},
+		{"a service without known workers", Step{Tasks: 1, Needs: resources.Amounts{Accelerators: 99}}, "unknown", false},
+	} {
+		job := &Job{Steps: []Step{test.step}}
+		err := job.CheckFit(test.service, sizes)
+		if test.impossible {
+			qt.Check(t, err, qt.ErrorIs, ErrImpossible, qt.Commentf(test.name))
+		} else {
+			qt.Check(t, err, qt.IsNil, qt.Commentf(test.name))
+		}
+	}
+}
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -8,6 +8,7 @@
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
+	"auburnstack/core/roster"
 )
 
 // Settings are the times and factors of a site.
@@ -57,6 +58,9 @@
 	// headroom is what is kept free for urgent jobs.
 	headroom headroom
 	spread   spread
+	// sizes counts the workers of each size; followed is when they were listed first.
+	sizes    map[roster.Size]int
+	followed time.Time
 }
 
 // New returns a planner without workers and jobs.
@@ -70,6 +74,7 @@
 		planned:  map[*unit]struct{}{},
 		dirty:    map[graph.ID]*jobState{},
 		advice:   map[graph.StepID]*advice{},
+		sizes:    map[roster.Size]int{},
 		speeds:   newSpeeds(),
 	}
 }
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -56,6 +56,7 @@
 	}
 	p.dropUnlisted()
 	p.sortWorkers()
+	p.noteSizes(now)
 	p.stopOnLeaving()
 	p.changed = true
 }
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
+	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/adviser"
 	"auburnstack/io/election"
@@ -107,6 +108,18 @@
 	}
 }
 
+// Sizes lists the sizes that workers have had in this term; empty when the VM does not lead or too little is known.
+func (c *Coordinator) Sizes() []roster.Size {
+	t := c.current()
+	if t == nil {
+		return nil
+	}
+	if sizes := t.sizes.Load(); sizes != nil {
+		return *sizes
+	}
+	return nil
+}
+
 // Pending counts the jobs of each queue of which no task has started; the second result is false when the VM does not
 // lead or has not read everything yet.
 func (c *Coordinator) Pending() (map[string]int, bool) {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -44,6 +44,8 @@
 	events chan event
 	// pending is read by any goroutine; nil until everything was read.
 	pending atomic.Pointer[map[string]int]
+	// sizes is read by any goroutine.
+	sizes   atomic.Pointer[[]roster.Size]
 	planner *planner.Planner
 	links   map[endpoint.Name]*link
 	orders  *orders
@@ -357,10 +359,12 @@
 	}
 }
 
-// count publishes how many jobs of each queue wait.
+// count publishes how many jobs of each queue wait, and the sizes of the workers.
 func (t *term) count() {
 	pending := t.planner.Pending()
 	t.pending.Store(&pending)
+	sizes := t.planner.Sizes(time.Now())
+	t.sizes.Store(&sizes)
 }
 
 // connect opens links to new workers and closes those to workers that are gone.
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -16,6 +16,7 @@
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
+	"auburnstack/core/roster"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay"
 	"auburnstack/io/store"
@@ -54,6 +55,8 @@
 	JobState(ctx context.Context, id graph.ID) (relay.JobState, bool)
 	// Pending counts the jobs of each queue of which no task has started, and tells how old the counts are.
 	Pending() (map[string]int, time.Duration, bool)
+	// Sizes lists the sizes that workers have had; empty until enough is known.
+	Sizes() []roster.Size
 	// Peers lists the VMs to pass requests on to, the best first.
 	Peers() []relay.Peer
 }
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -24,6 +24,9 @@
 	if err := job.Validate(); err != nil {
 		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
 	}
+	if err := job.CheckFit(c.queue.Service, i.site.Sizes()); err != nil {
+		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
+	}
 	value, err := json.Marshal(job)
 	if err != nil {
 		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -176,6 +176,12 @@
 	for _, m := range h.Members {
 		message.Members = append(message.Members, encodeMember(m))
 	}
+	for _, s := range h.Sizes {
+		message.Sizes = append(message.Sizes, &relaypb.WorkerSize{
+			Service: s.Service, Cpu: s.Capacity.CPU, Memory: s.Capacity.Memory, Accelerators: s.Capacity.Accelerators,
+			Workers: int64(s.Workers),
+		})
+	}
 	return message, nil
 }
 
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -10,6 +10,7 @@
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
+	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/store"
@@ -31,6 +32,8 @@
 	// Pending counts the jobs of each queue of which no task has started.
 	Pending map[string]int
 	Members []Member
+	// Sizes are those that workers have had; empty until enough is known.
+	Sizes []roster.Size
 	// Lease is that of the leader's key. Resigned tells that the leader has ended its term, so that the lease can be
 	// ended.
 	Lease    store.LeaseID
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -13,6 +13,8 @@
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
+	"auburnstack/core/resources"
+	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay/relaypb"
@@ -103,6 +105,12 @@
 		}
 		h.Members = append(h.Members, member)
 	}
+	for _, s := range message.GetSizes() {
+		h.Sizes = append(h.Sizes, roster.Size{
+			Service: s.GetService(), Workers: int(s.GetWorkers()),
+			Capacity: resources.Amounts{CPU: s.GetCpu(), Memory: s.GetMemory(), Accelerators: s.GetAccelerators()},
+		})
+	}
 	return h, nil
 }
 
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -112,6 +112,7 @@
 	if counts, leading := s.node.coordinator.Pending(); leading {
 		h.Pending = counts
 	}
+	h.Sizes = s.node.coordinator.Sizes()
 	for _, other := range others {
 		if !s.begin(other) {
 			continue
--- a/io/site/members.go
+++ b/io/site/members.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"auburnstack/core/roster"
 	"auburnstack/io/election"
 	"auburnstack/io/relay"
 	"auburnstack/io/store"
@@ -34,6 +35,8 @@
 	heardAt   time.Time
 	pending   map[string]int
 	pendingAt time.Time
+	// sizes are those that workers have had, as the leader says.
+	sizes []roster.Size
 }
 
 func newMembers(self relay.Member, seeds []netip.AddrPort) *members {
@@ -60,6 +63,9 @@
 	}
 	m.heardAt = time.Now()
 	m.pending, m.pendingAt = h.Pending, m.heardAt
+	if len(h.Sizes) > 0 {
+		m.sizes = h.Sizes
+	}
 	m.setOthers(h.Members)
 }
 
@@ -119,6 +125,13 @@
 	return m.pending, time.Since(m.pendingAt), !m.pendingAt.IsZero()
 }
 
+// workerSizes returns the sizes that workers have had.
+func (m *members) workerSizes() []roster.Size {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sizes
+}
+
 // relays lists the addresses to pass a request on to: the leader, then other VMs, then seeds.
 func (m *members) relays() []netip.AddrPort {
 	m.mu.Lock()
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -16,6 +16,7 @@
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
+	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/adviser"
 	"auburnstack/io/boottime"
@@ -233,6 +234,14 @@
 	return n.members.pendingCounts()
 }
 
+// Sizes implements intake.Site.
+func (n *Node) Sizes() []roster.Size {
+	if sizes := n.coordinator.Sizes(); len(sizes) > 0 {
+		return sizes
+	}
+	return n.members.workerSizes()
+}
+
 // Peers implements intake.Site.
 func (n *Node) Peers() []relay.Peer {
 	var peers []relay.Peer
--- a/io/site/serving_test.go
+++ b/io/site/serving_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstack/core/answer"
 	"auburnstack/core/graph"
 	"auburnstack/core/machine"
 	"auburnstack/core/upkeep"
@@ -122,3 +123,22 @@
 	qt.Assert(f.t, json.Unmarshal(item.Value, &record), qt.IsNil)
 	return record
 }
+
+// TestImpossibleJobRefused refuses a job that no worker can hold at once, at every VM, and goes on with the others.
+func TestImpossibleJobRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 3, 4)
+		defer f.close()
+		time.Sleep(15 * time.Second)
+		body, err := json.Marshal(graph.Job{Steps: oneStep(1, false, 9)})
+		qt.Assert(t, err, qt.IsNil)
+		for _, v := range f.vms {
+			a := v.serve("POST", urgentQueue+"00000000000000ff", body)
+			qt.Check(t, a.Kind, qt.Equals, answer.Invalid)
+			qt.Check(t, a.Reason, qt.Contains, "larger than any worker")
+		}
+		id := f.submit(urgentQueue, oneStep(1, false, 8), memworker.Plan{Work: time.Second})
+		qt.Check(t, f.awaitAll(urgentQueue, []graph.ID{id}, graph.Complete, settleTime), qt.HasLen, 0)
+		f.checkNothingViolated()
+	})
+}
