--- /dev/null
+++ b/bench/graphs/load.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"auburnstack/core/graph"
+)
+
+const (
+	// length is how long callers hand jobs in, settle how long the simulation goes on after that.
+	length = 60 * time.Second
+	settle = 60 * time.Second
+	// remoteFactor is how much longer a gang for one rack takes on several.
+	remoteFactor = 3
+	// durationSpread is the relative standard deviation of the durations of a kind's jobs.
+	durationSpread = 0.3
+	// widthSpread is that of the widths' logarithm.
+	widthSpread = 0.8
+)
+
+// pattern is a kind of load: what it is called and how it differs from a steady one.
+type pattern struct {
+	name string
+	// rate multiplies the rate of a kind at a time.
+	rate func(k *kind, at time.Duration) float64
+	// widen multiplies the widths of gangs.
+	widen float64
+	// canceled and poisoned are shares of the jobs that are not urgent.
+	canceled, poisoned float64
+	// out is the time for which the first failure domain takes nothing new and its workers are gone.
+	outFrom, outTo time.Duration
+	// slow, failing and stalled are shares of the workers.
+	slow, failing, stalled float64
+}
+
+func steady(*kind, time.Duration) float64 { return 1 }
+
+// during raises the rate of the kinds of a priority for some seconds.
+func during(priority int, factor float64, from, to time.Duration) func(*kind, time.Duration) float64 {
+	return func(k *kind, at time.Duration) float64 {
+		if k.priority == priority && at >= from && at < to {
+			return factor
+		}
+		return 1
+	}
+}
+
+func patterns() []pattern {
+	const from, to = 15 * time.Second, 25 * time.Second
+	return []pattern{
+		{name: "steady", rate: steady},
+		{name: "heavy", rate: func(*kind, time.Duration) float64 { return 1.6 }},
+		{name: "urgent-burst", rate: during(0, 4, from, to)},
+		{name: "wide-gangs", rate: during(1, 1.5, 0, length), widen: 2},
+		{name: "narrow-batches", rate: during(2, 4, from, to)},
+		{name: "domain-leaves", rate: steady, outFrom: from, outTo: to + 5*time.Second},
+		{name: "cancel-waves", rate: steady, canceled: 0.4},
+		{name: "poison", rate: steady, poisoned: 0.2},
+		{name: "failing-workers", rate: steady, failing: 0.1},
+		{name: "stalled-workers", rate: steady, stalled: 0.1},
+		{name: "slow-workers", rate: steady, slow: 0.2},
+	}
+}
+
+// arrival is a job with what only the simulation knows of it.
+type arrival struct {
+	at   time.Duration
+	job  *graph.Job
+	kind *kind
+	// work is the true duration of each task on a sound worker.
+	work time.Duration
+	// cancelAfter is 0 for jobs that are not canceled.
+	cancelAfter time.Duration
+	poisoned    bool
+	// weight is the job's part of its kind's worth: 0.3, and 0.7 by its work against the mean, at most 4.
+	weight float64
+}
+
+// arrivals draws the jobs of one sequence. An exact sequence has estimates that are true.
+func (s *site) arrivals(p *pattern, seed uint64, exact bool) []arrival {
+	random := rand.New(rand.NewPCG(seed, 11))
+	var list []arrival
+	for i := range s.kinds {
+		k := &s.kinds[i]
+		for at := nextArrival(random, k, p, 0); at < length; at = nextArrival(random, k, p, at) {
+			list = append(list, s.draw(random, k, p, at, exact))
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].at < list[j].at })
+	for i := range list {
+		list[i].job.ID = graph.ID(fmt.Sprintf("job-%05d", i))
+		list[i].job.ClientAccount = accountOf(i)
+		list[i].job.Accepted = epoch.Add(list[i].at)
+	}
+	return list
+}
+
+func nextArrival(random *rand.Rand, k *kind, p *pattern, at time.Duration) time.Duration {
+	rate := k.rate * p.rate(k, at)
+	return at + time.Duration(random.ExpFloat64()/rate*float64(time.Second))
+}
+
+func (s *site) draw(random *rand.Rand, k *kind, p *pattern, at time.Duration, exact bool) arrival {
+	width := k.width
+	if p.widen > 0 && k.gang > 0 {
+		width *= p.widen
+	}
+	spread := math.Exp(widthSpread*random.NormFloat64() - widthSpread*widthSpread/2)
+	tasks := clamp(int(math.Round(width*spread)), 1, k.maxWidth)
+	work := time.Duration(float64(k.work) * max(0.2, 1+durationSpread*random.NormFloat64()))
+	work = min(work, k.maxWork)
+	estimate := time.Duration(float64(work) * math.Exp(k.estimateError*random.NormFloat64()))
+	if exact {
+		estimate = work
+	}
+	step := graph.Step{
+		Tasks: tasks, Needs: k.needs, Estimate: estimate, Gang: random.Float64() < k.gang,
+		Checkpoints: random.Float64() < k.checkpoints, AbsenceLimit: -1,
+	}
+	step.SameRack = step.Gang && random.Float64() < k.sameRack
+	step.Needs.Accelerators = k.accelerators[random.IntN(len(k.accelerators))]
+	a := arrival{at: at, kind: k, work: work, job: &graph.Job{Queue: k.queue, Steps: []graph.Step{step}}}
+	if k.priority > 0 && random.Float64() < p.canceled {
+		a.cancelAfter = time.Duration(random.Int64N(int64(3 * k.work)))
+	}
+	a.poisoned = k.priority > 0 && random.Float64() < p.poisoned
+	mean := k.width * k.work.Seconds()
+	a.weight = 0.3 + 0.7*min(float64(tasks)*work.Seconds()/mean, 4)
+	return a
+}
+
+func clamp(n, low, high int) int {
+	return max(low, min(n, high))
+}
--- /dev/null
+++ b/bench/graphs/main.go
@@ -0,0 +1,208 @@
+// Command graphs measures the planner of job graphs on seeded loads, beside baselines and an oracle.
+package main
+
+import (
+	"encoding/csv"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"auburnstack/core/planner"
+)
+
+type arguments struct {
+	Out      string   `default:"out" help:"folder for the CSV file and plots"`
+	Seeds    int      `default:"10" help:"number of sequences for each pattern"`
+	Sites    []string `help:"kingston, association; default: both"`
+	Patterns []string `help:"patterns to play; default: all"`
+	Variants []string `help:"variants to play; default: all"`
+}
+
+// variant is a policy under the name that the table shows.
+type variant struct {
+	name  string
+	order planner.Order
+	fit   planner.Fit
+	// exact gives the policy estimates that are true, which no caller can.
+	exact bool
+	// sound takes all faults out of the pattern.
+	sound bool
+}
+
+func variants() []variant {
+	return []variant{
+		{name: "product"},
+		{name: "arrival", order: planner.ByArrival{}},
+		{name: "shortest", order: planner.ByWork{}},
+		{name: "objective", order: planner.ByObjective{}},
+		{name: "random", order: planner.ByChance{Seed: 1}},
+		{name: "best-fit", fit: planner.BestFit{}},
+		{name: "first-fit", fit: planner.FirstFit{}},
+		{name: "oracle", exact: true, sound: true},
+	}
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := execute(args); err != nil {
+		fmt.Fprintln(os.Stderr, "graphs:", err)
+		os.Exit(1)
+	}
+}
+
+func execute(args arguments) error {
+	if err := os.MkdirAll(args.Out, 0o750); err != nil {
+		return errors.WithStack(err)
+	}
+	file, err := os.Create(filepath.Join(args.Out, "graphs.csv"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer func() { _ = file.Close() }()
+	rows := csv.NewWriter(file)
+	defer rows.Flush()
+	header := []string{"site", "pattern", "variant"}
+	for _, f := range figures {
+		header = append(header, f.name, f.name+"-half")
+	}
+	if err := rows.Write(header); err != nil {
+		return errors.WithStack(err)
+	}
+	for _, s := range []site{kingston(), association()} {
+		if len(args.Sites) > 0 && !slices.Contains(args.Sites, s.name) {
+			continue
+		}
+		if err := compare(args, s, rows); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// figure is a column of the table.
+type figure struct {
+	name string
+	of   func(r *result) float64
+}
+
+var figures = []figure{
+	{"credit", func(r *result) float64 { return r.credit }},
+	{"urgent", func(r *result) float64 { return r.urgent }},
+	{"largest", func(r *result) float64 { return r.largest }},
+	{"account", func(r *result) float64 { return r.worstAccount }},
+	{"seconds", func(r *result) float64 { return r.completion }},
+	{"wasted", func(r *result) float64 { return r.wasted }},
+	{"whole", func(r *result) float64 { return r.whole }},
+	{"done-out", func(r *result) float64 { return r.doneOut }},
+}
+
+// compare plays every pattern of a site under every variant, on the same sequences.
+func compare(args arguments, s site, rows *csv.Writer) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "%s\t", s.name)
+	for _, f := range figures {
+		fmt.Fprintf(table, "%s\t", f.name)
+	}
+	fmt.Fprintln(table)
+	credits := map[string][]float64{}
+	var names []string
+	for _, p := range patterns() {
+		if len(args.Patterns) > 0 && !slices.Contains(args.Patterns, p.name) {
+			continue
+		}
+		names = append(names, p.name)
+		for _, v := range variants() {
+			if len(args.Variants) > 0 && !slices.Contains(args.Variants, v.name) {
+				continue
+			}
+			estimates := summarize(play(&s, p, v, args.Seeds))
+			credits[v.name] = append(credits[v.name], estimates[0].mean)
+			if err := show(table, rows, []string{s.name, p.name, v.name}, estimates); err != nil {
+				return err
+			}
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	return draw(filepath.Join(args.Out, "graphs-"+s.name+".png"), s.name, names, credits)
+}
+
+// play simulates all seeds, several at a time.
+func play(s *site, p pattern, v variant, seeds int) []result {
+	if v.sound {
+		p.slow, p.failing, p.stalled = 0, 0, 0
+	}
+	results := make([]result, seeds)
+	var group sync.WaitGroup
+	const parallel = 4
+	slots := make(chan struct{}, parallel)
+	for i := range seeds {
+		group.Go(func() {
+			slots <- struct{}{}
+			results[i] = simulate(s, &p, v, uint64(i+1)).result()
+			<-slots
+		})
+	}
+	group.Wait()
+	return results
+}
+
+func summarize(results []result) []estimate {
+	var estimates []estimate
+	for _, f := range figures {
+		var values []float64
+		for i := range results {
+			values = append(values, f.of(&results[i]))
+		}
+		estimates = append(estimates, estimateOf(values))
+	}
+	return estimates
+}
+
+func show(table *tabwriter.Writer, rows *csv.Writer, names []string, estimates []estimate) error {
+	fmt.Fprintf(table, "%s %s\t", names[1], names[2])
+	row := slices.Clone(names)
+	for _, e := range estimates {
+		fmt.Fprintf(table, "%.3f ±%.3f\t", e.mean, e.half)
+		row = append(row, fmt.Sprintf("%.4f", e.mean), fmt.Sprintf("%.4f", e.half))
+	}
+	fmt.Fprintln(table)
+	return errors.WithStack(rows.Write(row))
+}
+
+// draw plots the credit of each variant by pattern.
+func draw(path, title string, names []string, credits map[string][]float64) error {
+	const barWidth = vg.Length(6)
+	p := plot.New()
+	p.Title.Text = title + ": worth earned of the worth offered"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = true
+	for i, v := range variants() {
+		values, played := credits[v.name]
+		if !played {
+			continue
+		}
+		bars, err := plotter.NewBarChart(plotter.Values(values), barWidth)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		bars.Color = palette[i%len(palette)]
+		bars.LineStyle.Width = 0
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(variants())-1)/2)
+		p.Add(bars)
+		p.Legend.Add(v.name, bars)
+	}
+	p.NominalX(names...)
+	return errors.WithStack(p.Save(40*vg.Centimeter, 14*vg.Centimeter, path))
+}
--- /dev/null
+++ b/bench/graphs/simulation.go
@@ -0,0 +1,408 @@
+package main
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"auburnstack/core/domain"
+	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
+	"auburnstack/core/planner"
+	"auburnstack/core/roster"
+)
+
+// epoch is when every simulation begins.
+var epoch = time.Unix(1000, 0)
+
+const (
+	// tick is the time between two looks at what only time changes.
+	tick = 100 * time.Millisecond
+	// reportInterval is the time between two reports of a worker.
+	reportInterval = time.Second
+	// orderTime is the time from a decision to its effect on a worker.
+	orderTime = 10 * time.Millisecond
+	// slowFactor is how much longer tasks take on slow workers.
+	slowFactor = 6
+	// checkpointInterval is the work after which a task that checkpoints can resume; restoreTime is what that takes.
+	checkpointInterval = time.Second
+	restoreTime        = 250 * time.Millisecond
+)
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order int
+	act   func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(*event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// worker is a simulated worker.
+type worker struct {
+	roster.Worker
+	speed   float64
+	failing bool
+	stalled bool
+	runs    map[graph.TaskID]*run
+	ends    []planner.EndedRun
+}
+
+// run is a task that runs.
+type run struct {
+	planner.Start
+	since time.Time
+	// begun is when it began to work: a gang waits for all its members.
+	begun time.Time
+	// saved is the work that a checkpoint holds; length is what is left from there on this worker.
+	saved, length time.Duration
+	ended         bool
+}
+
+// outcome is how a job went.
+type outcome struct {
+	arrival
+	ended time.Time
+	state graph.State
+	// started is when its first task ran.
+	started time.Time
+}
+
+// simulation runs the planner against simulated workers on a virtual clock.
+type simulation struct {
+	site    *site
+	pattern *pattern
+	planner *planner.Planner
+	random  *rand.Rand
+	now     time.Time
+	queue   events
+	order   int
+	workers map[endpoint.Name]*worker
+	names   []endpoint.Name
+	jobs    map[graph.ID]*outcome
+	// saved holds the work that the newest checkpoint of a task holds.
+	saved map[graph.TaskID]time.Duration
+	// thrownAway is the work that was done in vain, busy all work, in accelerator-seconds.
+	thrownAway, busy float64
+	// freeWhole sums, over the looks, the part of the free accelerators that lie in whole free workers.
+	freeWhole float64
+	looks     int
+}
+
+// simulate plays one sequence under one variant.
+func simulate(s *site, p *pattern, v variant, seed uint64) *simulation {
+	m := &simulation{
+		site: s, pattern: p, now: epoch, random: rand.New(rand.NewPCG(seed, 5)), workers: map[endpoint.Name]*worker{},
+		jobs: map[graph.ID]*outcome{}, saved: map[graph.TaskID]time.Duration{},
+		planner: planner.New(s.settings(v), s.policy()),
+	}
+	m.addWorkers()
+	for _, a := range s.arrivals(p, seed, v.exact) {
+		m.after(a.at, func() { m.arrive(a) })
+	}
+	if p.outTo > 0 {
+		m.after(p.outFrom, func() { m.setOut(true) })
+		m.after(p.outTo, func() { m.setOut(false) })
+	}
+	m.after(0, m.look)
+	m.run(epoch.Add(length + settle))
+	return m
+}
+
+func (m *simulation) addWorkers() {
+	for i, info := range m.site.roster() {
+		w := &worker{Worker: info, speed: m.site.speeds[i%len(m.site.speeds)], runs: map[graph.TaskID]*run{}}
+		// The last workers of each rack are the ones with a fault, so that every rack has some sound ones.
+		draw := m.random.Float64()
+		switch p := m.pattern; {
+		case draw < p.slow:
+			w.speed *= slowFactor
+		case draw < p.slow+p.failing:
+			w.failing = true
+		case draw < p.slow+p.failing+p.stalled:
+			w.stalled = true
+		}
+		m.workers[info.Name] = w
+		m.names = append(m.names, info.Name)
+	}
+	m.list()
+	for _, name := range m.names {
+		m.report(m.workers[name])
+	}
+}
+
+func (m *simulation) list() {
+	var list []roster.Worker
+	for _, name := range m.names {
+		list = append(list, m.workers[name].Worker)
+	}
+	m.planner.SetWorkers(list, m.now)
+}
+
+// after lets something happen after a time from now.
+func (m *simulation) after(d time.Duration, act func()) {
+	m.order++
+	heap.Push(&m.queue, &event{at: m.now.Add(d), order: m.order, act: act})
+}
+
+func (m *simulation) run(end time.Time) {
+	for len(m.queue) > 0 && m.queue[0].at.Before(end) {
+		next := heap.Pop(&m.queue).(*event)
+		m.now = next.at
+		next.act()
+		m.decide()
+	}
+}
+
+// look lets time pass for the planner, and measures.
+func (m *simulation) look() {
+	if m.now.Sub(epoch)%reportInterval == 0 {
+		for _, name := range m.names {
+			m.report(m.workers[name])
+		}
+	}
+	m.measure()
+	m.planner.Tick()
+	m.after(tick, m.look)
+}
+
+func (m *simulation) measure() {
+	var free, whole int64
+	for _, w := range m.workers {
+		used := int64(0)
+		for _, r := range w.runs {
+			used += m.jobs[r.Task.Job].job.Steps[0].Needs.Accelerators
+		}
+		left := w.Capacity.Accelerators - used
+		free += left
+		if used == 0 {
+			whole += left
+		}
+		m.busy += float64(used) * tick.Seconds()
+	}
+	if free > 0 {
+		m.freeWhole += float64(whole) / float64(free)
+		m.looks++
+	}
+}
+
+func (m *simulation) arrive(a arrival) {
+	m.jobs[a.job.ID] = &outcome{arrival: a}
+	m.planner.Submit(a.job, m.now)
+	if a.cancelAfter > 0 {
+		m.after(a.cancelAfter, func() { m.planner.Cancel(a.job.ID, m.now) })
+	}
+}
+
+// setOut takes the first failure domain out, with all its workers, or brings it back.
+func (m *simulation) setOut(out bool) {
+	home := domain.Name(m.site.failureDomains[0])
+	if !out {
+		m.planner.SetPolicy(m.site.policy())
+		return
+	}
+	m.planner.SetPolicy(m.site.policy(home))
+	for _, name := range m.names {
+		w := m.workers[name]
+		if w.FailureDomain != home {
+			continue
+		}
+		for _, r := range w.runs {
+			m.end(w, r, planner.EndStopped)
+		}
+	}
+}
+
+// decide carries out decisions until there are none; changes are stored at once.
+func (m *simulation) decide() {
+	for {
+		actions := m.planner.Plan(m.now)
+		changes := m.planner.TakeChanges(1000)
+		for _, change := range changes {
+			m.planner.Stored(change, m.now)
+			if j := m.jobs[change.Progress.ID]; change.Progress.State.Final() && j.state == "" {
+				j.state, j.ended = change.Progress.State, m.now
+			}
+		}
+		for _, action := range actions {
+			switch a := action.(type) {
+			case planner.Start:
+				m.after(orderTime, func() { m.start(a) })
+			case planner.Stop:
+				m.planner.StopAnswered(a, m.now)
+				m.after(orderTime+m.site.stopTime, func() { m.stop(a) })
+			}
+		}
+		if len(actions) == 0 && len(changes) == 0 {
+			return
+		}
+	}
+}
+
+func (m *simulation) start(a planner.Start) {
+	w := m.workers[a.Worker]
+	r := &run{Start: a, since: m.now}
+	w.runs[a.Task] = r
+	m.planner.StartAnswered(a, planner.Accepted, m.now)
+	j := m.jobs[a.Task.Job]
+	if j.started.IsZero() {
+		j.started = m.now
+	}
+	if !j.job.Steps[0].Gang {
+		m.begin(w, r, 1, m.random.Float64() < j.kind.failing)
+		return
+	}
+	if members := m.members(a); len(members) == j.job.Steps[0].Tasks {
+		m.beginGang(j, members)
+	}
+}
+
+// members returns the present members of a gang's run with their workers.
+func (m *simulation) members(a planner.Start) map[*run]*worker {
+	members := map[*run]*worker{}
+	for _, w := range m.workers {
+		for _, r := range w.runs {
+			if r.Task.Job == a.Task.Job && r.Run == a.Run && !r.ended {
+				members[r] = w
+			}
+		}
+	}
+	return members
+}
+
+// beginGang lets a gang work: as fast as its slowest member, and slower if it wants one rack and has several.
+func (m *simulation) beginGang(j *outcome, members map[*run]*worker) {
+	factor := 1.0
+	racks := map[endpoint.Rack]bool{}
+	slowest := 0.0
+	for _, w := range members {
+		racks[w.Rack] = true
+		slowest = max(slowest, w.speed)
+	}
+	if j.job.Steps[0].SameRack && len(racks) > 1 {
+		factor = remoteFactor
+	}
+	// A gang fails as a whole, by one of its members.
+	failing := -1
+	if m.random.Float64() < j.kind.failing {
+		failing = m.random.IntN(len(members))
+	}
+	for r, w := range members {
+		m.begin(w, r, factor*slowest/w.speed, r.Task.Index == failing)
+	}
+}
+
+// begin lets a run work until it ends, or fails on the way.
+func (m *simulation) begin(w *worker, r *run, factor float64, fails bool) {
+	j := m.jobs[r.Task.Job]
+	r.begun = m.now
+	r.saved = m.saved[r.Task]
+	r.length = time.Duration(float64(j.work-r.saved) * w.speed * factor)
+	length := r.length
+	if r.saved > 0 {
+		length += restoreTime
+	}
+	kind := planner.EndDone
+	if w.failing || j.poisoned || fails {
+		kind = planner.EndFailed
+		length /= 2
+	}
+	if w.stalled {
+		return
+	}
+	m.after(length, func() { m.finish(w, r, kind) })
+}
+
+// finish ends a run by itself. One end as done stands for a whole gang.
+func (m *simulation) finish(w *worker, r *run, kind planner.EndKind) {
+	if r.ended || w.runs[r.Task] != r {
+		return
+	}
+	members := map[*run]*worker{r: w}
+	if m.jobs[r.Task.Job].job.Steps[0].Gang {
+		members = m.members(r.Start)
+	}
+	m.end(w, r, kind)
+	for other, at := range members {
+		if other == r {
+			continue
+		}
+		if kind == planner.EndDone {
+			m.end(at, other, planner.EndDone)
+		} else {
+			m.end(at, other, planner.EndBroken)
+		}
+	}
+}
+
+func (m *simulation) stop(a planner.Stop) {
+	w := m.workers[a.Worker]
+	if r := w.runs[a.Task]; r != nil && r.Run == a.Run {
+		m.end(w, r, planner.EndStopped)
+	}
+}
+
+// end takes a run off its worker and reports it.
+func (m *simulation) end(w *worker, r *run, kind planner.EndKind) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	delete(w.runs, r.Task)
+	j := m.jobs[r.Task.Job]
+	step := &j.job.Steps[0]
+	done := m.progress(j, r)
+	checkpoint := ""
+	if kind != planner.EndDone {
+		kept := m.saved[r.Task]
+		if step.Checkpoints && kind != planner.EndFailed {
+			kept = max(kept, done.Truncate(checkpointInterval))
+			m.saved[r.Task] = kept
+			checkpoint = kept.String()
+		}
+		m.thrownAway += float64(step.Needs.Accelerators) * (done - kept).Seconds()
+	}
+	w.ends = append(w.ends, planner.EndedRun{Task: r.Task, Run: r.Run, Kind: kind, Checkpoint: checkpoint})
+	m.report(w)
+}
+
+// progress is the work that a run has done, with what its checkpoint held.
+func (m *simulation) progress(j *outcome, r *run) time.Duration {
+	if r.begun.IsZero() || r.length <= 0 {
+		return m.saved[r.Task]
+	}
+	share := min(float64(m.now.Sub(r.begun))/float64(r.length), 1)
+	return r.saved + time.Duration(share*float64(j.work-r.saved))
+}
+
+// report tells the planner what runs on a worker and what has ended.
+func (m *simulation) report(w *worker) {
+	o := planner.Observation{Worker: w.Name, Incarnation: w.Incarnation, Sent: m.now, Ended: w.ends}
+	for _, r := range w.runs {
+		percent := 0
+		if !w.stalled {
+			percent = int(100 * m.progress(m.jobs[r.Task.Job], r) / m.jobs[r.Task.Job].work)
+		}
+		o.Runs = append(o.Runs, planner.RunningTask{Task: r.Task, Run: r.Run, Percent: min(percent, 99)})
+	}
+	w.ends = nil
+	m.planner.Renewed(w.Name, m.now)
+	m.planner.Answered(w.Name, true)
+	m.planner.Observe(o, m.now)
+}
--- a/core/planner/advice.go
+++ b/core/planner/advice.go
@@ -74,6 +74,11 @@
 	return held, true
 }
 
+func (p *Planner) isPermitted(u *unit, w *worker, now time.Time) bool {
+	_, permitted := p.permitted(u, w, now)
+	return permitted
+}
+
 // consult asks about workers for the first unit that has too few permitted ones.
 func (p *Planner) consult(now time.Time) {
 	if p.consultation.open || now.Before(p.consultation.notBefore) || !p.policy.HasAdvice() {
--- a/core/planner/bench_test.go
+++ b/core/planner/bench_test.go
@@ -40,8 +40,48 @@
 	}
 }
 
+// BenchmarkBatchArrival measures a job of 40 independent tasks, from its arrival to its end, on an idle fleet.
+func BenchmarkBatchArrival(b *testing.B) {
+	for _, workers := range []int{48, 350, 3000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			p, now := idlePlanner(workers)
+			b.ResetTimer()
+			for i := range b.N {
+				job := &graph.Job{ID: graph.ID(fmt.Sprintf("job-%05d", i)), Queue: "batch", Accepted: now, Steps: []graph.Step{{
+					Tasks: 40, Estimate: time.Second, Needs: resources.Amounts{CPU: 1000, Memory: 1000, Accelerators: 1},
+				}}}
+				p.Submit(job, now)
+				settle(p, now)
+				p.Cancel(job.ID, now)
+				for _, u := range p.jobs[job.ID].units[0][0] {
+					for _, m := range slices.Clone(u.members) {
+						p.memberEnded(m, EndStopped, "", now)
+					}
+				}
+				settle(p, now)
+				now = now.Add(10 * time.Second)
+				b.StopTimer()
+				p.Forget(now.Add(time.Hour))
+				b.StartTimer()
+			}
+		})
+	}
+}
+
 // busyPlanner returns a planner whose workers have two accelerators left each.
 func busyPlanner(workers int) (*Planner, time.Time) {
+	p, now := idlePlanner(workers)
+	for i := range workers {
+		p.Submit(&graph.Job{ID: graph.ID(fmt.Sprintf("batch-%05d", i)), Queue: "batch", Accepted: now, Steps: []graph.Step{{
+			Tasks: 6, SpreadLimit: 6, Estimate: time.Hour, Needs: resources.Amounts{CPU: 1000, Memory: 1000, Accelerators: 1},
+		}}}, now)
+	}
+	settle(p, now)
+	return p, now
+}
+
+// idlePlanner returns a planner whose workers run nothing and stay leased.
+func idlePlanner(workers int) (*Planner, time.Time) {
 	now := time.Unix(1000, 0)
 	p := New(testSettings(), testPolicy())
 	var list []roster.Worker
@@ -56,12 +96,6 @@
 	for i := range list {
 		p.Answered(list[i].Name, true)
 	}
-	for i := range workers {
-		p.Submit(&graph.Job{ID: graph.ID(fmt.Sprintf("batch-%05d", i)), Queue: "batch", Accepted: now, Steps: []graph.Step{{
-			Tasks: 6, SpreadLimit: 6, Estimate: time.Hour, Needs: resources.Amounts{CPU: 1000, Memory: 1000, Accelerators: 1},
-		}}}, now)
-	}
-	settle(p, now)
 	return p, now
 }
 
@@ -74,13 +108,15 @@
 	}
 }
 
-// settle lets the planner decide until nothing is left to store.
-func settle(p *Planner, now time.Time) {
+// settle decides and stores until nothing changes, and returns the orders.
+func settle(p *Planner, now time.Time) []Action {
+	var actions []Action
 	for {
-		p.Plan(now)
+		decided := p.Plan(now)
+		actions = append(actions, decided...)
 		changes := p.TakeChanges(1000)
-		if len(changes) == 0 {
-			return
+		if len(changes) == 0 && len(decided) == 0 {
+			return actions
 		}
 		for _, c := range changes {
 			p.Stored(c, now)
--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -91,7 +91,7 @@
 		free += available
 		racks[w.Rack] += available
 	}
-	if !p.urgentQueue(service) {
+	if !p.urgentQueue(service) || !p.prefersUrgent() {
 		return &spareRoom{left: free, most: total}
 	}
 	target := p.headroom.target(total, now)
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -163,6 +163,9 @@
 	Rejected
 	// NotPermitted orders had no effect, as the worker did not accept the ticket.
 	NotPermitted
+	// Settled orders were rejected after an earlier try without an answer: that one may have been carried out, and the
+	// run may even have ended. Nothing begins any more; the worker's next report tells.
+	Settled
 	// Unanswered orders may have been carried out, or will be.
 	Unanswered
 )
@@ -192,6 +195,8 @@
 		p.memberEnded(m, endLost, "", now)
 	case Rejected:
 		p.memberEnded(m, endLost, "", now)
+	case Settled:
+		m.settled = now
 	case Unanswered:
 	}
 }
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -20,6 +20,14 @@
 
 // queueOrder returns the waiting units in the order in which they are placed.
 func (p *Planner) queueOrder(now time.Time) []*unit {
+	if !p.prefersUrgent() {
+		units := make([]*unit, 0, len(p.waiting))
+		for u := range p.waiting {
+			units = append(units, u)
+		}
+		p.baselineOrder(units, now)
+		return units
+	}
 	ranks := make([]rank, 0, len(p.waiting))
 	for u := range p.waiting {
 		ranks = append(ranks, p.rank(u, now))
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -37,24 +37,26 @@
 // placeIn places a unit in the room that is given. Unless it may be remote, it gets one rack or its data's rack if it
 // asks for that, or no place.
 func (p *Planner) placeIn(u *unit, free room, remote bool) []*worker {
-	candidates := p.candidates(u, free)
+	candidates := p.candidates(u, u.size(), free)
 	if u.job.queue.Priority == 0 {
-		if places := p.placeAmong(u, p.fast(candidates), remote); places != nil {
+		fast, _ := p.bySpeed(candidates)
+		if places := p.placeAmong(u, fast, remote); places != nil {
 			return places
 		}
 	}
 	return p.placeAmong(u, candidates, remote)
 }
 
-// fast returns the candidates that are not known to be slow.
-func (p *Planner) fast(candidates []candidate) []candidate {
-	var list []candidate
+// bySpeed parts the candidates that are not known to be slow from those that are.
+func (p *Planner) bySpeed(candidates []candidate) (fast, slow []candidate) {
 	for _, c := range candidates {
-		if !p.isSlow(c.worker) {
-			list = append(list, c)
+		if p.isSlow(c.worker) {
+			slow = append(slow, c)
+		} else {
+			fast = append(fast, c)
 		}
 	}
-	return list
+	return fast, slow
 }
 
 func (p *Planner) placeAmong(u *unit, candidates []candidate, remote bool) []*worker {
@@ -63,7 +65,7 @@
 		return nil
 	}
 	if rack := step.DataRack; rack != "" {
-		if places := pick(inRack(candidates, endpoint.Rack(rack)), u.size()); places != nil {
+		if places := p.pick(inRack(candidates, endpoint.Rack(rack)), u.size()); places != nil {
 			return places
 		}
 	}
@@ -75,7 +77,7 @@
 			return nil
 		}
 	}
-	return pick(candidates, u.size())
+	return p.pick(candidates, u.size())
 }
 
 // mayWorkRemotely tells whether a unit has waited long enough to be spread over racks, or away from its data.
@@ -91,29 +93,30 @@
 	return total >= size
 }
 
-// candidates lists the workers that can take at least one task of a unit.
-func (p *Planner) candidates(u *unit, free room) []candidate {
+// candidates lists the workers that can take at least one task of a unit's step, with how many of a number each takes.
+func (p *Planner) candidates(u *unit, tasks int, free room) []candidate {
 	now := p.now
 	step := u.spec()
+	reserved := step.Reserved()
 	var list []candidate
 	for _, w := range p.order {
 		if w.Service != u.job.queue.Service || !p.accepts(w, now) || step.Label != "" && !w.HasLabel(step.Label) {
 			continue
 		}
-		if _, permitted := p.permitted(u, w, now); u.advised() && !permitted {
+		if u.advised() && !p.isPermitted(u, w, now) {
 			continue
 		}
 		if now.Sub(u.since) < avoidPatience && slices.Contains(u.avoid, w) {
 			continue
 		}
-		limit := u.size()
-		if step.SpreadLimit > 0 {
-			limit = min(limit, step.SpreadLimit-w.sharing(u))
-		}
 		available := free(w)
-		if count := available.Count(step.Reserved(), limit); count > 0 {
+		count := available.Count(reserved, tasks)
+		if count > 0 && step.SpreadLimit > 0 {
+			count = min(count, step.SpreadLimit-w.sharing(u))
+		}
+		if count > 0 {
 			list = append(list, candidate{
-				worker: w, count: count, available: available.Accelerators, left: available.Sub(step.Reserved().Times(count)),
+				worker: w, count: count, available: available.Accelerators, left: available.Sub(reserved.Times(count)),
 			})
 		}
 	}
@@ -161,12 +164,36 @@
 	if !found {
 		return nil
 	}
-	return pick(inRack(candidates, best), size)
+	return p.pick(inRack(candidates, best), size)
 }
 
 // pick returns places for a number of tasks on the workers that they fill best, or nil. Racks in which little is free
 // come first, so that whole racks stay free for gangs.
-func pick(candidates []candidate, size int) []*worker {
+func (p *Planner) pick(candidates []candidate, size int) []*worker {
+	places := p.fill(candidates, size)
+	if len(places) < size {
+		return nil
+	}
+	return places
+}
+
+// fill returns places for as many of a number of tasks as there is room for.
+func (p *Planner) fill(candidates []candidate, size int) []*worker {
+	sortForFit(candidates, p.settings.Fit)
+	places := make([]*worker, 0, size)
+	for _, c := range candidates {
+		for range min(c.count, size-len(places)) {
+			places = append(places, c.worker)
+		}
+		if len(places) == size {
+			break
+		}
+	}
+	return places
+}
+
+// sortPacked puts the racks with the least free accelerators first.
+func sortPacked(candidates []candidate) {
 	free := map[endpoint.Rack]int64{}
 	for i := range candidates {
 		free[candidates[i].worker.Rack] += candidates[i].available
@@ -178,18 +205,9 @@
 		}
 		return tighter(a, b)
 	})
-	places := make([]*worker, 0, size)
-	for _, c := range candidates {
-		for range min(c.count, size-len(places)) {
-			places = append(places, c.worker)
-		}
-		if len(places) == size {
-			return places
-		}
-	}
-	return nil
 }
 
+// tighter tells whether less would be left on the first of two workers.
 func tighter(a, b *candidate) bool {
 	if a.left.Accelerators != b.left.Accelerators {
 		return a.left.Accelerators < b.left.Accelerators
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -15,6 +15,8 @@
 	leftoverLimit = time.Second
 	// keptPatience is how long a unit that is not urgent waits for room beside the racks that are kept for urgent ones.
 	keptPatience = 3 * time.Second
+	// sweepInterval is the least time between two looks at all running tasks for what only time changes.
+	sweepInterval = 50 * time.Millisecond
 	// vacateLimit is how long a placement waits for the room that stops are to make.
 	vacateLimit = 3 * time.Second
 )
@@ -25,10 +27,13 @@
 	p.now = now
 	p.ExpireLeases(now)
 	p.unblockDue(now)
-	p.stopStalled(now)
-	p.stopLeftovers(now)
 	p.vacateRetired()
-	p.paceFillers(now)
+	if now.Sub(p.swept) >= sweepInterval {
+		p.swept = now
+		p.stopStalled(now)
+		p.stopLeftovers(now)
+		p.paceFillers(now)
+	}
 	p.consult(now)
 	if p.changed {
 		p.changed = false
@@ -54,51 +59,71 @@
 }
 
 func (p *Planner) placeWaiting(now time.Time) {
-	spare := map[string]*spareRoom{}
-	failed := map[demand]bool{}
-	for _, u := range p.queueOrder(now) {
-		service := u.job.queue.Service
-		if _, counted := spare[service]; !counted {
-			spare[service] = p.spare(service, now)
-		}
-		wanted := u.spec().Needs.Accelerators * int64(u.size())
-		if !u.urgent() && !spare[service].allows(wanted) {
-			continue
-		}
-		key := u.demand(now)
-		if failed[key] {
-			continue
-		}
-		places := p.placeBeside(u, now, spare[service])
-		if places == nil && u.urgent() {
-			places = p.preemptFor(u, now)
-		}
-		if places == nil {
-			failed[key] = true
-			continue
-		}
-		spare[service].left -= wanted
-		delete(p.waiting, u)
-		u.reserve(places)
-		u.phase = vacating
-		u.placed = now
-		p.planned[u] = struct{}{}
-		p.launchIfVacated(u)
+	round := &round{now: now, spare: map[string]*spareRoom{}, failed: map[demand]bool{}}
+	units := p.queueOrder(now)
+	for len(units) > 0 {
+		group := siblings(units)
+		units = units[len(group):]
+		p.placeGroup(group, round)
 	}
 }
 
+// round is one pass over all waiting units.
+type round struct {
+	now time.Time
+	// spare holds what units that are not urgent may take of each service.
+	spare map[string]*spareRoom
+	// failed holds the demands that could not be met.
+	failed map[demand]bool
+}
+
+func (p *Planner) spareIn(r *round, service string) *spareRoom {
+	if _, counted := r.spare[service]; !counted {
+		r.spare[service] = p.spare(service, r.now)
+	}
+	return r.spare[service]
+}
+
+// placeOne places a unit, by stopping other work if it is urgent.
+func (p *Planner) placeOne(u *unit, r *round) {
+	spare := p.spareIn(r, u.job.queue.Service)
+	wanted := u.spec().Needs.Accelerators * int64(u.size())
+	if !u.urgent() && !spare.allows(wanted) {
+		return
+	}
+	key := u.demand(r.now)
+	if r.failed[key] {
+		return
+	}
+	places := p.placeBeside(u, r.now, spare)
+	if places == nil && u.urgent() && p.prefersUrgent() {
+		places = p.preemptFor(u, r.now)
+	}
+	if places == nil {
+		r.failed[key] = true
+		return
+	}
+	p.assign(u, places, r)
+}
+
+// assign gives a unit its places.
+func (p *Planner) assign(u *unit, places []*worker, r *round) {
+	spare := p.spareIn(r, u.job.queue.Service)
+	spare.left -= u.spec().Needs.Accelerators * int64(u.size())
+	delete(p.waiting, u)
+	u.reserve(places)
+	u.phase = vacating
+	u.placed = r.now
+	p.planned[u] = struct{}{}
+	p.launchIfVacated(u)
+}
+
 // placeBeside places a unit that is not urgent beside the racks that are kept for urgent ones, at first.
 func (p *Planner) placeBeside(u *unit, now time.Time, spare *spareRoom) []*worker {
 	if u.urgent() || u.advised() || len(spare.kept) == 0 {
 		return p.place(u, now)
 	}
-	beside := func(w *worker) resources.Amounts {
-		if spare.kept[w.Rack] {
-			return resources.Amounts{}
-		}
-		return w.free()
-	}
-	places := p.placeIn(u, beside, false)
+	places := p.placeIn(u, p.besideKept(u, spare), false)
 	if places == nil && (now.Sub(u.since) >= keptPatience || spare.kept[endpoint.Rack(u.spec().DataRack)]) {
 		places = p.place(u, now)
 	}
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -23,6 +23,9 @@
 	EarlyStart time.Duration
 	// RetainFinal is how long the state of a job that has ended is kept.
 	RetainFinal time.Duration
+	// Order and Fit are those of the product when they are nil; experiments set others beside them.
+	Order Order
+	Fit   Fit
 }
 
 const (
@@ -49,6 +52,8 @@
 	actions []Action
 	// now is the time of the decision that is being made.
 	now time.Time
+	// swept is when all running tasks were looked at last.
+	swept time.Time
 	// changed is set when an event may have made a decision possible.
 	changed bool
 	speeds  *speeds
--- a/core/planner/preempt.go
+++ b/core/planner/preempt.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		e := p.evict(u, inRacks[rack], func(u *unit, free room) []*worker {
-			return pick(inRack(p.candidates(u, free), rack), u.size())
+			return p.pick(inRack(p.candidates(u, u.size(), free), rack), u.size())
 		})
 		if e != nil && (best == nil || e.loss < best.loss) {
 			best = e
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -39,7 +39,6 @@
 type startAnswered struct {
 	start   planner.Start
 	outcome planner.Outcome
-	reason  string
 }
 
 // stopAnswered is the outcome of a stop.
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -17,6 +17,10 @@
 const (
 	// holdWait is how long a worker may hold back its answer until a run ends.
 	holdWait = time.Second
+	// largeSite is the number of workers from which they may wait longer, for largeWait, as each answer costs the leader
+	// processor time.
+	largeSite = 600
+	largeWait = 2 * time.Second
 	// pacedWait takes its place on workers where tasks that fill work beside tasks that serve.
 	pacedWait = 300 * time.Millisecond
 	// holdTimeout bounds the delivery of a hold and its answer.
@@ -62,6 +66,14 @@
 	incarnation roster.Incarnation
 }
 
+// holdWait is how long workers may hold back their answers.
+func (t *term) holdWait() time.Duration {
+	if t.workers.Load() >= largeSite {
+		return largeWait
+	}
+	return holdWait
+}
+
 func newLink(t *term, info roster.Worker) *link {
 	ctx, cancel := context.WithCancel(t.role.Context())
 	l := &link{
@@ -109,9 +121,13 @@
 func (l *link) hold(ctx context.Context) (runner.Held, time.Time, error) {
 	hold := runner.Hold{Fence: runner.Fence(l.term.role.Fence)}
 	l.mu.Lock()
-	hold.Seen = l.seen
+	if !l.silent {
+		// After a hold without an answer the worker may have started anew. It would forget ends of its own by a number of
+		// its earlier incarnation.
+		hold.Seen = l.seen
+	}
 	if l.clock != 0 && !l.silent {
-		hold.Wait = holdWait
+		hold.Wait = l.term.holdWait()
 		if l.paced.Load() {
 			hold.Wait = pacedWait
 		}
@@ -195,6 +211,17 @@
 	l.clock, l.clockAt = clock, now
 }
 
+// registered takes in the incarnation of a worker's registration. A new one numbers its ends anew.
+func (l *link) registered(incarnation roster.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation > l.incarnation && l.incarnation != 0 {
+		l.seen = 0
+		l.incarnation = incarnation
+		l.clock = 0
+	}
+}
+
 func (l *link) isSilent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -41,6 +41,8 @@
 type order struct {
 	action   planner.Action
 	inFlight bool
+	// unanswered is set after a try without an answer, which may have been carried out, or may be later.
+	unanswered bool
 	// next is when it is sent again.
 	next time.Time
 }
@@ -122,11 +124,11 @@
 		return
 	}
 	entry.inFlight = true
-	action := entry.action
+	action, repeated := entry.action, entry.unanswered
 	o.term.spawn(func() {
 		switch a := action.(type) {
 		case planner.Start:
-			o.start(l, a)
+			o.start(l, a, repeated)
 		case planner.Stop:
 			o.stop(l, a)
 		case planner.Pace:
@@ -135,7 +137,7 @@
 	})
 }
 
-func (o *orders) start(l *link, a planner.Start) {
+func (o *orders) start(l *link, a planner.Start, repeated bool) {
 	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
 	_, err := l.worker.Start(ctx, runner.Start{
@@ -144,14 +146,7 @@
 	})
 	answer := startAnswered{start: a, outcome: planner.Accepted}
 	if err != nil {
-		answer.reason = err.Error()
-		answer.outcome = planner.Unanswered
-		switch {
-		case errors.Is(err, runner.ErrTicket):
-			answer.outcome = planner.NotPermitted
-		case isRefusal(err):
-			answer.outcome = planner.Rejected
-		}
+		answer.outcome = startOutcome(err, repeated)
 		o.term.config.Metrics.orderFailed(err)
 		o.term.config.Log.Warn("start not confirmed", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
 			"worker", a.Worker, "error", err.Error())
@@ -159,6 +154,25 @@
 	o.term.post(answer)
 }
 
+// startOutcome tells what an error of a start means. After a try without an answer, only a rejection for good says that
+// nothing can begin any more: a worker that lacks room now may have it when the earlier try arrives.
+func startOutcome(err error, repeated bool) planner.Outcome {
+	switch {
+	case errors.Is(err, runner.ErrGone):
+		return planner.Rejected
+	case repeated && errors.Is(err, runner.ErrRejected):
+		return planner.Settled
+	case repeated:
+		return planner.Unanswered
+	case errors.Is(err, runner.ErrTicket):
+		return planner.NotPermitted
+	case isRefusal(err):
+		return planner.Rejected
+	default:
+		return planner.Unanswered
+	}
+}
+
 // isRefusal tells whether an order had no effect and will have none.
 func isRefusal(err error) bool {
 	for _, refusal := range []error{runner.ErrRejected, runner.ErrNoRoom, runner.ErrUnhealthy, runner.ErrGone} {
@@ -224,6 +238,6 @@
 		delete(o.open, key)
 		return
 	}
-	entry.inFlight = false
+	entry.inFlight, entry.unanswered = false, true
 	entry.next = time.Now().Add(orderRetry)
 }
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -26,6 +26,9 @@
 	storeTimeout = time.Second
 	// loadTimeout bounds the reading of all records, which may take seconds on a slow link.
 	loadTimeout = 10 * time.Second
+	// longStep is the time of a decision after which the next one waits, at most for maxRest.
+	longStep = 4 * time.Millisecond
+	maxRest  = 50 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 100 * time.Millisecond
 	// eventBuffer is the number of events that may wait for the control goroutine.
@@ -62,6 +65,8 @@
 	// reports wait to be stored; reporting is set while one is under way.
 	reports   []upkeep.Record
 	reporting bool
+	// workers is the number of links, read by any goroutine.
+	workers atomic.Int64
 	// wavesActive is read by any goroutine.
 	wavesActive atomic.Bool
 	// work counts the goroutines of the term.
@@ -208,7 +213,17 @@
 			t.count()
 			t.forget(ctx)
 		}
+		begun := time.Now()
 		t.step()
+		t.rest(ctx, time.Since(begun))
+	}
+}
+
+// rest leaves as much time to traffic as a long decision took, so that events gather for the next one. On large sites
+// each decision looks at thousands of workers, however few events it is about.
+func (t *term) rest(ctx context.Context, took time.Duration) {
+	if took >= longStep {
+		wait.For(ctx, min(took, maxRest))
 	}
 }
 
@@ -377,7 +392,10 @@
 			l.Close()
 			open = false
 		}
-		if !open && w.Address.IsValid() {
+		switch {
+		case open:
+			l.registered(w.Incarnation)
+		case w.Address.IsValid():
 			t.links[w.Name] = newLink(t, w)
 		}
 	})
@@ -387,6 +405,7 @@
 			delete(t.links, name)
 		}
 	}
+	t.workers.Store(int64(len(t.links)))
 }
 
 func (t *term) closeLinks() {
--- a/io/election/candidate.go
+++ b/io/election/candidate.go
@@ -54,6 +54,16 @@
 	end   context.CancelFunc
 }
 
+// NewRole returns a term that ends with a context, and is valid up to a time of the clock unless it is renewed.
+func NewRole(
+	ctx context.Context, fence store.Revision, lease store.LeaseID, clock boottime.Clock, until time.Duration,
+) *Role {
+	ended, end := context.WithCancel(ctx)
+	r := &Role{Fence: fence, Lease: lease, clock: clock, ended: ended, end: end}
+	r.until.Store(int64(until))
+	return r
+}
+
 // Valid tells whether the term holds now. It is checked right before each order.
 func (r *Role) Valid() bool {
 	return r.ended.Err() == nil && int64(r.clock()) < r.until.Load()
@@ -213,10 +223,9 @@
 
 // hold leads until the lease is lost or the candidate closes.
 func (c *Candidate) hold(ctx context.Context, lease store.LeaseID, fence store.Revision, sent time.Duration) {
-	ended, end := context.WithCancel(ctx)
+	role := NewRole(ctx, fence, lease, c.clock, sent+leaseTime-safety)
+	ended, end := role.ended, role.end
 	defer end()
-	role := &Role{Fence: fence, Lease: lease, clock: c.clock, ended: ended, end: end}
-	role.until.Store(int64(sent + leaseTime - safety))
 	c.log.Info("leading", "fence", fence)
 	finished := make(chan struct{})
 	go func() {
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -31,6 +31,7 @@
 	Policy policywatch.Snapshot
 	// Pending counts the jobs of each queue of which no task has started.
 	Pending map[string]int
+	// Members lists the VMs; it is left out while it has not changed since the receiver was told.
 	Members []Member
 	// Sizes are those that workers have had; empty until enough is known.
 	Sizes []roster.Size
@@ -44,6 +45,8 @@
 type Known struct {
 	Revision  store.Revision
 	ChangedAt store.Revision
+	// Leader is the newest that the VM knows; its address is invalid if it knows none.
+	Leader Member
 }
 
 // Request is a caller's request that another VM passes on.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -63,7 +63,9 @@
 		return nil, err
 	}
 	known := s.handler.Exchange(h)
-	return &relaypb.HeartbeatReply{Revision: int64(known.Revision), ChangedAt: int64(known.ChangedAt)}, nil
+	return &relaypb.HeartbeatReply{
+		Revision: int64(known.Revision), ChangedAt: int64(known.ChangedAt), Leader: encodeMember(known.Leader),
+	}, nil
 }
 
 // Handle implements relaypb.RelayServer.
@@ -135,5 +137,9 @@
 }
 
 func decodeKnown(reply *relaypb.HeartbeatReply) Known {
-	return Known{Revision: store.Revision(reply.GetRevision()), ChangedAt: store.Revision(reply.GetChangedAt())}
+	known := Known{Revision: store.Revision(reply.GetRevision()), ChangedAt: store.Revision(reply.GetChangedAt())}
+	if leader, err := decodeMember(reply.GetLeader()); err == nil {
+		known.Leader = leader
+	}
+	return known
 }
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"auburnstack/io/election"
-	"auburnstack/io/policywatch"
 	"auburnstack/io/relay"
 	"auburnstack/io/wait"
 )
@@ -43,7 +43,7 @@
 			n.readMembers(ctx)
 		}
 		if role.Valid() {
-			sender.send(ctx)
+			sender.send(ctx, n.members.list())
 		}
 		wait.For(ctx, beatInterval)
 	}
@@ -57,20 +57,22 @@
 		n.config.Log.Debug("registered VMs not read", "error", err.Error())
 		return
 	}
-	all := []relay.Member{n.self}
+	all := append([]relay.Member{n.self}, n.members.reached(time.Now())...)
 	for _, item := range page.Items {
 		member, err := decodeMember(item)
 		if err != nil {
 			n.config.Log.Warn("registered VM ignored", "error", err.Error())
 			continue
 		}
+		all = slices.DeleteFunc(all, func(m relay.Member) bool { return m.Name == member.Name })
 		all = append(all, member)
 	}
 	n.members.replace(all)
 	n.config.Peers.Keep(all)
 }
 
-// push passes new configurations on to the other VMs.
+// push passes new configurations on to some other VMs, for those that the store does not answer. Whoever adopts one
+// passes it on in turn, so that a few each reach all.
 func (n *Node) push(ctx context.Context) {
 	sender := newSender(n, nil)
 	defer sender.Close()
@@ -79,99 +81,7 @@
 		case <-ctx.Done():
 			return
 		case <-n.members.pushes:
-			sender.send(ctx)
+			sender.announce(ctx)
 		}
 	}
 }
-
-// sender sends heartbeats, one at a time to each VM.
-type sender struct {
-	node *Node
-	// role is nil when the VM does not lead.
-	role  *election.Role
-	calls sync.WaitGroup
-
-	mu sync.Mutex
-	// known is the configuration that each VM had last.
-	known map[relay.Member]relay.Known
-	busy  map[relay.Member]bool
-}
-
-func newSender(n *Node, role *election.Role) *sender {
-	return &sender{node: n, role: role, known: map[relay.Member]relay.Known{}, busy: map[relay.Member]bool{}}
-}
-
-// Close waits for the heartbeats under way.
-func (s *sender) Close() {
-	s.calls.Wait()
-}
-
-func (s *sender) send(ctx context.Context) {
-	others := s.node.members.list()
-	h := s.heartbeat(others)
-	if counts, leading := s.node.coordinator.Pending(); leading {
-		h.Pending = counts
-	}
-	h.Sizes = s.node.coordinator.Sizes()
-	for _, other := range others {
-		if !s.begin(other) {
-			continue
-		}
-		s.calls.Go(func() { s.exchange(ctx, other, h) })
-	}
-}
-
-func (s *sender) heartbeat(others []relay.Member) relay.Heartbeat {
-	h := relay.Heartbeat{Sender: s.node.self, Members: append(others, s.node.self)}
-	if s.role != nil {
-		h.Fence, h.Lease = s.role.Fence, s.role.Lease
-	}
-	return h
-}
-
-// resign tells the other VMs that the term has ended.
-func (s *sender) resign() {
-	s.calls.Wait()
-	others := s.node.members.list()
-	h := s.heartbeat(others)
-	h.Resigned = true
-	ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
-	defer cancel()
-	for _, other := range others {
-		s.calls.Go(func() { s.exchange(ctx, other, h) })
-	}
-	s.calls.Wait()
-}
-
-func (s *sender) begin(other relay.Member) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.busy[other] {
-		return false
-	}
-	s.busy[other] = true
-	return true
-}
-
-func (s *sender) exchange(ctx context.Context, other relay.Member, h relay.Heartbeat) {
-	snapshot := *s.node.watcher.Current()
-	s.mu.Lock()
-	known := s.known[other]
-	s.mu.Unlock()
-	receiver := policywatch.Snapshot{Revision: known.Revision, ChangedAt: known.ChangedAt}
-	if !snapshot.Newer(&receiver) {
-		snapshot.Policy = nil
-	}
-	h.Policy = snapshot
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	known, err := s.node.config.Peers.Peer(other.Address).Exchange(ctx, h)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy[other] = false
-	if err != nil {
-		delete(s.known, other)
-		return
-	}
-	s.known[other] = known
-}
--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -84,6 +84,9 @@
 	nodes map[netip.AddrPort]*Node
 	// cut holds the VMs that no other VM reaches.
 	cut map[netip.AddrPort]bool
+	// exchanges counts the heartbeats and announcements, contents those that carried a configuration, lists those that
+	// carried the VMs.
+	exchanges, contents, lists int
 }
 
 func (n *network) reach(from, to netip.AddrPort) *Node {
@@ -95,6 +98,28 @@
 	return n.nodes[to]
 }
 
+// count notes what a heartbeat carries.
+func (n *network) count(h relay.Heartbeat) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.exchanges++
+	if h.Policy.Policy != nil {
+		n.contents++
+	}
+	if len(h.Members) > 0 {
+		n.lists++
+	}
+}
+
+// counts returns the counts so far, and begins anew.
+func (n *network) counts() (exchanges, contents, lists int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	exchanges, contents, lists = n.exchanges, n.contents, n.lists
+	n.exchanges, n.contents, n.lists = 0, 0, 0
+	return exchanges, contents, lists
+}
+
 func (n *network) set(address netip.AddrPort, node *Node) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -141,6 +166,7 @@
 	if err != nil {
 		return relay.Known{}, err
 	}
+	l.network.count(h)
 	return node.Exchange(h), nil
 }
 
@@ -256,7 +282,7 @@
 	v.lives++
 	v.node = New(Config{
 		Name: v.name, Incarnation: fmt.Sprintf("%s-%d", v.name, v.lives), Address: v.address,
-		Peers: dialer{network: f.network, self: v.address}, Store: v.client, Workers: f.workers, Adviser: f.workers, Inventory: f.inventory,
+		Peers: dialer{network: f.network, self: v.address}, Seeds: []netip.AddrPort{f.vms[0].address}, Store: v.client, Workers: f.workers, Adviser: f.workers, Inventory: f.inventory,
 		Codecs: Codecs{Policy: policyCodec{testCodec{"op/"}}, Roster: testCodec{"servers/"}, Jobs: jobCodec{}, Upkeep: upkeepCodec{}},
 		Planner: planner.Settings{
 			LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, RemoteFactor: 3,
--- a/io/site/members.go
+++ b/io/site/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 	leaderSilence = 900 * time.Millisecond
 	// maxRelays bounds the VMs to which one request is passed on in turn.
 	maxRelays = 3
+	// reachedTime is how long a VM that is not registered counts as a member after it has answered.
+	reachedTime = 3 * time.Second
 )
 
 // members is what a VM knows of the others. It is safe for concurrent use.
@@ -27,10 +30,16 @@
 
 	mu    sync.Mutex
 	seeds []netip.AddrPort
-	// others lists the registered VMs besides this one, in the order of their names.
-	others []relay.Member
+	// others lists the registered VMs besides this one, in the order of their names; version grows with each change.
+	others  []relay.Member
+	version uint64
+	// answeredAt is when VMs have answered this one, or called it. The store may refuse them, so that their registrations
+	// lapse.
+	answeredAt map[relay.Member]time.Time
 	// lead is the newest leader that is known; fence its token.
-	lead      relay.Member
+	lead relay.Member
+	// hint is a leader that another VM has named.
+	hint      relay.Member
 	fence     store.Revision
 	heardAt   time.Time
 	pending   map[string]int
@@ -40,7 +49,9 @@
 }
 
 func newMembers(self relay.Member, seeds []netip.AddrPort) *members {
-	return &members{self: self, seeds: seeds, pushes: make(chan struct{}, 1)}
+	return &members{
+		self: self, seeds: seeds, pushes: make(chan struct{}, 1), answeredAt: map[relay.Member]time.Time{},
+	}
 }
 
 func (m *members) setSeeds(seeds []netip.AddrPort) {
@@ -53,7 +64,11 @@
 func (m *members) heard(h relay.Heartbeat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h.Fence == 0 || h.Fence < m.fence {
+	if h.Fence == 0 {
+		m.answeredAt[h.Sender] = time.Now()
+		return
+	}
+	if h.Fence < m.fence {
 		return
 	}
 	m.lead, m.fence = h.Sender, h.Fence
@@ -66,18 +81,56 @@
 	if len(h.Sizes) > 0 {
 		m.sizes = h.Sizes
 	}
-	m.setOthers(h.Members)
+	if len(h.Members) > 0 {
+		// The list is left out while it has not changed.
+		m.setOthers(h.Members)
+	}
+}
+
+// answered notes that a VM has answered.
+func (m *members) answered(other relay.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answeredAt[other] = time.Now()
+}
+
+// reached lists the VMs that have answered or called lately, and forgets the others.
+func (m *members) reached(now time.Time) []relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []relay.Member
+	for other, at := range m.answeredAt {
+		if now.Sub(at) > reachedTime {
+			delete(m.answeredAt, other)
+			continue
+		}
+		list = append(list, other)
+	}
+	return list
+}
+
+// pointTo takes in the leader that another VM names, unless this one knows a leader that it hears.
+func (m *members) pointTo(leader relay.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if leader.Address.IsValid() && leader != m.self && time.Since(m.heardAt) >= leaderSilence {
+		m.hint = leader
+	}
 }
 
 // setOthers replaces the list of VMs; the caller holds the lock.
 func (m *members) setOthers(all []relay.Member) {
-	m.others = m.others[:0]
+	var others []relay.Member
 	for _, other := range all {
 		if other.Name != m.self.Name {
-			m.others = append(m.others, other)
+			others = append(others, other)
 		}
 	}
-	sort.Slice(m.others, func(i, j int) bool { return m.others[i].Name < m.others[j].Name })
+	sort.Slice(others, func(i, j int) bool { return others[i].Name < others[j].Name })
+	if !slices.Equal(m.others, others) {
+		m.others = others
+		m.version++
+	}
 }
 
 // replace takes over a list that was read from the store, and returns the VMs besides this one.
@@ -95,6 +148,26 @@
 	return append([]relay.Member(nil), m.others...)
 }
 
+// versioned returns the VMs besides this one, and the version of that list.
+func (m *members) versioned() ([]relay.Member, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]relay.Member(nil), m.others...), m.version
+}
+
+// neighbors returns the VMs at distances of 1, 2, 4 and so on in the order of names. If each VM tells its neighbors,
+// all are reached in a few steps, and the number of messages grows with the logarithm of the fleet.
+func (m *members) neighbors() []relay.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	begin := sort.Search(len(m.others), func(i int) bool { return m.others[i].Name > m.self.Name })
+	var list []relay.Member
+	for distance := 1; distance <= len(m.others); distance *= 2 {
+		list = append(list, m.others[(begin+distance-1)%len(m.others)])
+	}
+	return list
+}
+
 // hearsLeader tells whether the leader was heard lately.
 func (m *members) hearsLeader() bool {
 	m.mu.Lock()
@@ -149,6 +222,7 @@
 		list = append(list, address)
 	}
 	add(m.lead.Address)
+	add(m.hint.Address)
 	// Each VM begins at another place of the list, so that requests spread.
 	begin := sort.Search(len(m.others), func(i int) bool { return m.others[i].Name > m.self.Name })
 	for i := range m.others {
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -109,11 +109,8 @@
 		Handicap: config.Handicap,
 		Idle:     n.members.hearsLeader, Lead: n.lead, Seen: n.members.leaderSeen,
 	})
-	n.loops.Add(1)
-	go func() {
-		defer n.loops.Done()
-		n.push(ctx)
-	}()
+	n.loops.Go(func() { n.push(ctx) })
+	n.loops.Go(func() { n.introduce(ctx) })
 	close(ready)
 	return n
 }
@@ -166,9 +163,7 @@
 		n.config.Log.Error("part of the configuration left out", "version", snapshot.Policy.Version, "error", mistake)
 	}
 	n.coordinator.PolicyChanged()
-	if fromStore {
-		n.members.wakePush()
-	}
+	n.members.wakePush()
 }
 
 // Exchange implements relay.Handler.
@@ -183,7 +178,13 @@
 		n.loops.Go(func() { n.succeed(h.Lease) })
 	}
 	current := n.watcher.Current()
-	return relay.Known{Revision: current.Revision, ChangedAt: current.ChangedAt}
+	known := relay.Known{Revision: current.Revision, ChangedAt: current.ChangedAt}
+	if _, leading := n.coordinator.Pending(); leading {
+		known.Leader = n.self
+	} else if leader, heard := n.members.leader(); heard {
+		known.Leader = leader
+	}
+	return known
 }
 
 // succeed ends the lease of a leader that has resigned, and stands for the lead. A leader that the store refuses
--- a/standin/memworker/connection.go
+++ b/standin/memworker/connection.go
@@ -64,10 +64,16 @@
 // Hold implements runner.Worker.
 func (c *connection) Hold(ctx context.Context, hold runner.Hold) (runner.Held, error) {
 	var held runner.Held
+	// A worker that starts anew ends the connections of its earlier incarnation.
+	var asked *machine
 	deadline := time.Now().Add(hold.Wait)
 	for {
 		var changed <-chan struct{}
 		err := c.order(ctx, func(w *machine) error {
+			if asked != nil && asked != w {
+				return runner.ErrUnanswered
+			}
+			asked = w
 			if err := w.admit(hold.Fence); err != nil {
 				return err
 			}
