--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINTER := bin/golangci-lint
 SITE ?= kingston
 
-.PHONY: build test unit lint fmt demo bench bench-decisions capacity generate known-red
+.PHONY: build test unit lint fmt demo bench bench-decisions bench-graphs capacity generate known-red
 
 build:
 	cd cmd && go build -o ../bin/ ./auburnstack ./standin
@@ -36,6 +36,9 @@
 bench-decisions:
 	cd bench && go run ./decisions --out ../out
 
+bench-graphs:
+	cd bench && go run ./graphs --out ../out
+
 capacity:
 	cd bench && go run ./decisions --capacity
 	cd io && go test -run '^$$' -bench 'Capacity' -benchtime 200x ./...
