--- a/bench/graphs/load.go
+++ b/bench/graphs/load.go
@@ -33,8 +33,9 @@
 	canceled, poisoned float64
 	// out is the time for which the first failure domain takes nothing new and its workers are gone.
 	outFrom, outTo time.Duration
-	// slow, failing and stalled are shares of the workers.
+	// slow, failing and stalled are shares of the workers. The slow ones are so for a time.
 	slow, failing, stalled float64
+	slowFrom, slowTo       time.Duration
 }
 
 func steady(*kind, time.Duration) float64 { return 1 }
@@ -62,7 +63,8 @@
 		{name: "poison", rate: steady, poisoned: 0.2},
 		{name: "failing-workers", rate: steady, failing: 0.1},
 		{name: "stalled-workers", rate: steady, stalled: 0.1},
-		{name: "slow-workers", rate: steady, slow: 0.2},
+		{name: "slow-workers", rate: steady, slow: 0.2, slowFrom: from, slowTo: to},
+		{name: "slow-all-day", rate: steady, slow: 0.2, slowFrom: time.Second, slowTo: length + settle},
 	}
 }
 
--- a/bench/graphs/simulation.go
+++ b/bench/graphs/simulation.go
@@ -23,7 +23,7 @@
 	// orderTime is the time from a decision to its effect on a worker.
 	orderTime = 10 * time.Millisecond
 	// slowFactor is how much longer tasks take on slow workers.
-	slowFactor = 6
+	slowFactor = 6.0
 	// checkpointInterval is the work after which a task that checkpoints can resume; restoreTime is what that takes.
 	checkpointInterval = time.Second
 	restoreTime        = 250 * time.Millisecond
@@ -57,7 +57,9 @@
 // worker is a simulated worker.
 type worker struct {
 	roster.Worker
+	// speed is how many times longer tasks take; slow workers are slower for a time.
 	speed   float64
+	slow    bool
 	failing bool
 	stalled bool
 	runs    map[graph.TaskID]*run
@@ -68,11 +70,17 @@
 type run struct {
 	planner.Start
 	since time.Time
-	// begun is when it began to work: a gang waits for all its members.
-	begun time.Time
-	// saved is the work that a checkpoint holds; length is what is left from there on this worker.
-	saved, length time.Duration
-	ended         bool
+	// begun is set once it works: a gang waits for all its members.
+	begun bool
+	// saved is the work that a checkpoint held, done the work since then, up to a time.
+	saved, done time.Duration
+	at          time.Time
+	// rate is the work that it does in a second; fails is set if it ends halfway.
+	rate  float64
+	fails bool
+	// schedule counts the changes of its end.
+	schedule int
+	ended    bool
 }
 
 // outcome is how a job went.
@@ -120,6 +128,10 @@
 		m.after(p.outFrom, func() { m.setOut(true) })
 		m.after(p.outTo, func() { m.setOut(false) })
 	}
+	if p.slowTo > 0 {
+		m.after(p.slowFrom, func() { m.setSlow(slowFactor) })
+		m.after(p.slowTo, func() { m.setSlow(1 / slowFactor) })
+	}
 	m.after(0, m.look)
 	m.run(epoch.Add(length + settle))
 	return m
@@ -132,7 +144,7 @@
 		draw := m.random.Float64()
 		switch p := m.pattern; {
 		case draw < p.slow:
-			w.speed *= slowFactor
+			w.slow = true
 		case draw < p.slow+p.failing:
 			w.failing = true
 		case draw < p.slow+p.failing+p.stalled:
@@ -257,20 +269,28 @@
 
 func (m *simulation) start(a planner.Start) {
 	w := m.workers[a.Worker]
-	r := &run{Start: a, since: m.now}
+	r := &run{Start: a}
 	w.runs[a.Task] = r
 	m.planner.StartAnswered(a, planner.Accepted, m.now)
 	j := m.jobs[a.Task.Job]
 	if j.started.IsZero() {
 		j.started = m.now
 	}
-	if !j.job.Steps[0].Gang {
-		m.begin(w, r, 1, m.random.Float64() < j.kind.failing)
-		return
+	members := map[*run]*worker{r: w}
+	failing := r.Task.Index
+	if j.job.Steps[0].Gang {
+		members = m.members(a)
+		if len(members) < j.job.Steps[0].Tasks {
+			return
+		}
+		// A gang fails as a whole, by one of its members.
+		failing = m.random.IntN(len(members))
 	}
-	if members := m.members(a); len(members) == j.job.Steps[0].Tasks {
-		m.beginGang(j, members)
+	fails := m.random.Float64() < j.kind.failing
+	for r, w := range members {
+		m.begin(w, r, fails && r.Task.Index == failing)
 	}
+	m.reschedule(members)
 }
 
 // members returns the present members of a gang's run with their workers.
@@ -286,47 +306,92 @@
 	return members
 }
 
-// beginGang lets a gang work: as fast as its slowest member, and slower if it wants one rack and has several.
-func (m *simulation) beginGang(j *outcome, members map[*run]*worker) {
-	factor := 1.0
+// begin lets a run work from its checkpoint.
+func (m *simulation) begin(w *worker, r *run, fails bool) {
+	r.begun, r.saved, r.at = true, m.saved[r.Task], m.now
+	if r.saved > 0 {
+		r.at = m.now.Add(restoreTime)
+	}
+	r.fails = fails || w.failing || m.jobs[r.Task.Job].poisoned
+}
+
+// reschedule lets a gang, or one task, end when its work is done: as fast as its slowest member, and slower if it wants
+// one rack and has several.
+func (m *simulation) reschedule(members map[*run]*worker) {
 	racks := map[endpoint.Rack]bool{}
-	slowest := 0.0
-	for _, w := range members {
+	slowest, stalled := 0.0, false
+	var job *outcome
+	for r, w := range members {
 		racks[w.Rack] = true
 		slowest = max(slowest, w.speed)
+		stalled = stalled || w.stalled
+		job = m.jobs[r.Task.Job]
 	}
-	if j.job.Steps[0].SameRack && len(racks) > 1 {
-		factor = remoteFactor
+	if job.job.Steps[0].SameRack && len(racks) > 1 {
+		slowest *= remoteFactor
 	}
-	// A gang fails as a whole, by one of its members.
-	failing := -1
-	if m.random.Float64() < j.kind.failing {
-		failing = m.random.IntN(len(members))
+	for _, name := range m.names {
+		w := m.workers[name]
+		for r, at := range members {
+			if at != w {
+				continue
+			}
+			m.advance(r)
+			r.rate = 1 / slowest
+			if stalled {
+				r.rate = 0
+			}
+			m.scheduleEnd(w, r)
+		}
 	}
-	for r, w := range members {
-		m.begin(w, r, factor*slowest/w.speed, r.Task.Index == failing)
+}
+
+// advance counts the work that a run has done up to now.
+func (m *simulation) advance(r *run) {
+	if r.begun && m.now.After(r.at) {
+		r.done += time.Duration(float64(m.now.Sub(r.at)) * r.rate)
+		r.at = m.now
 	}
 }
 
-// begin lets a run work until it ends, or fails on the way.
-func (m *simulation) begin(w *worker, r *run, factor float64, fails bool) {
-	j := m.jobs[r.Task.Job]
-	r.begun = m.now
-	r.saved = m.saved[r.Task]
-	r.length = time.Duration(float64(j.work-r.saved) * w.speed * factor)
-	length := r.length
-	if r.saved > 0 {
-		length += restoreTime
+func (m *simulation) scheduleEnd(w *worker, r *run) {
+	r.schedule++
+	if r.rate == 0 {
+		return
 	}
-	kind := planner.EndDone
-	if w.failing || j.poisoned || fails {
-		kind = planner.EndFailed
-		length /= 2
+	j := m.jobs[r.Task.Job]
+	left, kind := j.work-r.saved, planner.EndDone
+	if r.fails {
+		left, kind = left/2, planner.EndFailed
+	}
+	left = time.Duration(float64(left-r.done) / r.rate)
+	current := r.schedule
+	m.after(max(r.at.Add(left).Sub(m.now), 0), func() {
+		if r.schedule == current {
+			m.finish(w, r, kind)
+		}
+	})
+}
+
+// setSlow makes the slow workers slower by a factor, also for what runs there.
+func (m *simulation) setSlow(factor float64) {
+	for _, w := range m.workers {
+		if w.slow {
+			w.speed *= factor
+		}
 	}
-	if w.stalled {
-		return
+	for _, name := range m.names {
+		w := m.workers[name]
+		for _, r := range w.runs {
+			switch {
+			case !r.begun:
+			case m.jobs[r.Task.Job].job.Steps[0].Gang:
+				m.reschedule(m.members(r.Start))
+			default:
+				m.reschedule(map[*run]*worker{r: w})
+			}
+		}
 	}
-	m.after(length, func() { m.finish(w, r, kind) })
 }
 
 // finish ends a run by itself. One end as done stands for a whole gang.
@@ -384,11 +449,8 @@
 
 // progress is the work that a run has done, with what its checkpoint held.
 func (m *simulation) progress(j *outcome, r *run) time.Duration {
-	if r.begun.IsZero() || r.length <= 0 {
-		return m.saved[r.Task]
-	}
-	share := min(float64(m.now.Sub(r.begun))/float64(r.length), 1)
-	return r.saved + time.Duration(share*float64(j.work-r.saved))
+	m.advance(r)
+	return min(r.saved+r.done, j.work)
 }
 
 // report tells the planner what runs on a worker and what has ended.
