Tried: slow workers found by the progress of running tasks

Change: windows of 0.7 s of progress against siblings (independent tasks) or the gang's own best and its estimate; workers that look slow are avoided for 4 s.

--- a/core/planner/group.go
+++ b/core/planner/group.go
@@ -50,10 +50,7 @@
 		return nil
 	}
 	candidates := p.candidates(u, n, p.besideKept(u, spare))
-	if u.job.queue.Priority > 0 {
-		return p.fill(candidates, n)
-	}
-	fast, slow := p.bySpeed(candidates)
+	fast, slow := p.bySpeed(u, candidates)
 	places := p.fill(fast, n)
 	return append(places, p.fill(slow, n-len(places))...)
 }
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -38,8 +38,7 @@
 // asks for that, or no place.
 func (p *Planner) placeIn(u *unit, free room, remote bool) []*worker {
 	candidates := p.candidates(u, u.size(), free)
-	if u.job.queue.Priority == 0 {
-		fast, _ := p.bySpeed(candidates)
+	if fast, slow := p.bySpeed(u, candidates); len(slow) > 0 {
 		if places := p.placeAmong(u, fast, remote); places != nil {
 			return places
 		}
@@ -47,10 +46,11 @@
 	return p.placeAmong(u, candidates, remote)
 }
 
-// bySpeed parts the candidates that are not known to be slow from those that are.
-func (p *Planner) bySpeed(candidates []candidate) (fast, slow []candidate) {
+// bySpeed parts the candidates of a unit from those that are known to be slow: at present, or, for urgent units, at all.
+func (p *Planner) bySpeed(u *unit, candidates []candidate) (fast, slow []candidate) {
+	urgent := u.job.queue.Priority == 0
 	for _, c := range candidates {
-		if p.isSlow(c.worker) {
+		if c.worker.drags(p.now) || urgent && p.isSlow(c.worker) {
 			slow = append(slow, c)
 		} else {
 			fast = append(fast, c)
