--- a/core/planner/group.go
+++ b/core/planner/group.go
@@ -50,7 +50,10 @@
 		return nil
 	}
 	candidates := p.candidates(u, n, p.besideKept(u, spare))
-	fast, slow := p.bySpeed(u, candidates)
+	if u.job.queue.Priority > 0 {
+		return p.fill(candidates, n)
+	}
+	fast, slow := p.bySpeed(candidates)
 	places := p.fill(fast, n)
 	return append(places, p.fill(slow, n-len(places))...)
 }
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -126,7 +126,6 @@
 	if run.Percent != m.percent {
 		m.percent, m.percentSince = run.Percent, now
 	}
-	p.observeDrag(m, now)
 	if !m.unit.job.begun {
 		m.unit.job.begun = true
 	}
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -38,7 +38,8 @@
 // asks for that, or no place.
 func (p *Planner) placeIn(u *unit, free room, remote bool) []*worker {
 	candidates := p.candidates(u, u.size(), free)
-	if fast, slow := p.bySpeed(u, candidates); len(slow) > 0 {
+	if u.job.queue.Priority == 0 {
+		fast, _ := p.bySpeed(candidates)
 		if places := p.placeAmong(u, fast, remote); places != nil {
 			return places
 		}
@@ -46,11 +47,10 @@
 	return p.placeAmong(u, candidates, remote)
 }
 
-// bySpeed parts the candidates of a unit from those that are known to be slow: at present, or, for urgent units, at all.
-func (p *Planner) bySpeed(u *unit, candidates []candidate) (fast, slow []candidate) {
-	urgent := u.job.queue.Priority == 0
+// bySpeed parts the candidates that are not known to be slow from those that are.
+func (p *Planner) bySpeed(candidates []candidate) (fast, slow []candidate) {
 	for _, c := range candidates {
-		if c.worker.drags(p.now) || urgent && p.isSlow(c.worker) {
+		if p.isSlow(c.worker) {
 			slow = append(slow, c)
 		} else {
 			fast = append(fast, c)
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -71,7 +71,6 @@
 	if u.job.firstStart.IsZero() {
 		u.job.firstStart = now
 	}
-	u.bestRate = 0
 	u.resumed = u.checkpoint != ""
 	for _, m := range u.members {
 		m.percent = -1
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -51,8 +51,6 @@
 	avoid []*worker
 	// placed is when the newest placement was made; finishedAt is when the unit finished.
 	placed, finishedAt time.Time
-	// bestRate is the best rate of a gang's newest run, in percent a second.
-	bestRate float64
 	// resumed is set when the newest run began at a checkpoint.
 	resumed bool
 	// recordVersion is the job version that holds the newest placement.
@@ -136,8 +134,6 @@
 	percentSince time.Time
 	// reading is the worker's last figure of the task, as in RunningTask.
 	reading float64
-	// rate is how fast the task works.
-	rate progressRate
 	// pace is the share of its speed in percent that was ordered last; it may be unknownPace.
 	pace int
 	// stopped is when the member was last told to stop after its gang had finished.
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -29,7 +29,6 @@
 	strangers int
 	health    health
 	pace      pace
-	drag      drag
 	pacing    pacing
 	// paced is set while tasks that fill work beside tasks that serve.
 	paced bool
