--- a/bench/graphs/simulation.go
+++ b/bench/graphs/simulation.go
@@ -69,7 +69,6 @@
 // run is a task that runs.
 type run struct {
 	planner.Start
-	since time.Time
 	// begun is set once it works: a gang waits for all its members.
 	begun bool
 	// saved is the work that a checkpoint held, done the work since then, up to a time.
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -17,6 +17,8 @@
 const (
 	// holdWait is how long a worker may hold back its answer until a run ends.
 	holdWait = time.Second
+	// openingTime bounds the turn of a link to call its worker first.
+	openingTime = 60 * time.Millisecond
 	// largeSite is the number of workers from which they may wait longer, for largeWait, as each answer costs the leader
 	// processor time.
 	largeSite = 600
@@ -48,6 +50,11 @@
 	// paced is set while the worker has to be watched closely.
 	paced atomic.Bool
 
+	// opening is set while the link has its turn to call the worker first.
+	opening atomic.Bool
+	// turn ends that; only the link's goroutine uses it.
+	turn *time.Timer
+
 	// probed is set when a probe has ended the last hold.
 	probed atomic.Bool
 
@@ -92,8 +99,12 @@
 
 func (l *link) run(ctx context.Context) {
 	defer close(l.done)
+	if !l.open(ctx) {
+		return
+	}
 	for ctx.Err() == nil && l.term.role.Valid() {
 		held, sent, err := l.hold(ctx)
+		l.opened()
 		switch {
 		case errors.Is(err, runner.ErrFenced):
 			l.term.config.Log.Warn("a worker obeys a newer leader", "worker", l.info.Name)
@@ -117,6 +128,32 @@
 	}
 }
 
+// open waits for its turn to call the worker first.
+func (l *link) open(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case l.term.opening <- struct{}{}:
+		l.opening.Store(true)
+		// A worker that does not answer costs nothing while it is waited for.
+		l.turn = time.AfterFunc(openingTime, l.endTurn)
+		return true
+	}
+}
+
+// opened ends the turn after the first answer.
+func (l *link) opened() {
+	l.turn.Stop()
+	l.endTurn()
+}
+
+// endTurn gives the turn to another link.
+func (l *link) endTurn() {
+	if l.opening.CompareAndSwap(true, false) {
+		<-l.term.opening
+	}
+}
+
 // hold renews the lease and asks what runs.
 func (l *link) hold(ctx context.Context) (runner.Held, time.Time, error) {
 	hold := runner.Hold{Fence: runner.Fence(l.term.role.Fence)}
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -29,6 +29,8 @@
 	// longStep is the time of a decision after which the next one waits, at most for maxRest.
 	longStep = 4 * time.Millisecond
 	maxRest  = 50 * time.Millisecond
+	// maxOpening bounds the first calls to workers that are under way.
+	maxOpening = 64
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 100 * time.Millisecond
 	// eventBuffer is the number of events that may wait for the control goroutine.
@@ -52,6 +54,9 @@
 	planner *planner.Planner
 	links   map[endpoint.Name]*link
 	orders  *orders
+	// opening bounds the links that wait for their first answer, so that a takeover of thousands of workers leaves
+	// processor time to the renewal of the role.
+	opening chan struct{}
 	// revisions holds the revision of each stored progress; 0 when there is none.
 	revisions map[graph.ID]store.Revision
 	flushing  bool
@@ -83,7 +88,8 @@
 func newTerm(config Config, role *election.Role) *term {
 	return &term{
 		config: config, role: role, events: make(chan event, eventBuffer),
-		probed: map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[graph.ID]store.Revision{},
+		opening: make(chan struct{}, maxOpening),
+		probed:  map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[graph.ID]store.Revision{},
 	}
 }
 
