Ends of an earlier incarnation never let a worker forget those of another one

What had ended in the earlier incarnation was recorded after the link had learned of the new one, and its numbers then counted for the new incarnation too, which forgot ends that nobody had seen. Change: what may be forgotten names the incarnation. TestForgetsNothingOfAnotherIncarnation has the case and failed before: numbers 0, 5, 0, 6 instead of 0, 5, 0, 1.

--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -159,7 +159,7 @@
 			continue
 		}
 		if l, open := t.links[a.worker]; open {
-			l.forget(a.number)
+			l.forget(a.incarnation, a.number)
 		}
 	}
 	t.acks = kept
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -286,10 +286,12 @@
 	})
 }
 
-// forget lets the worker forget the ends up to a number.
-func (l *link) forget(number int64) {
+// forget lets an incarnation of the worker forget its ends up to a number. Another one has numbers of its own.
+func (l *link) forget(incarnation roster.Incarnation, number int64) {
 	l.mu.Lock()
-	l.seen = max(l.seen, number)
+	if incarnation == l.incarnation {
+		l.seen = max(l.seen, number)
+	}
 	l.mu.Unlock()
 	select {
 	case l.acked <- struct{}{}:
--- a/io/coordinator/link_test.go
+++ b/io/coordinator/link_test.go
@@ -84,9 +84,11 @@
 		}()
 		l := newLink(term, roster.Worker{Name: "w"})
 		time.Sleep(100 * time.Millisecond)
-		l.forget(5)
+		l.forget(1, 5)
 		time.Sleep(time.Second)
-		l.forget(1)
+		// What the earlier incarnation has listed is recorded only now.
+		l.forget(1, 6)
+		l.forget(2, 1)
 		time.Sleep(time.Second)
 		qt.Check(t, w.numbers()[:4], qt.DeepEquals, []int64{0, 5, 0, 1})
 		l.registered(3)
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -80,7 +80,9 @@
 
 // ack is the number of a worker's last end that may be forgotten once all changes up to an observation are stored.
 type ack struct {
-	worker   endpoint.Name
+	worker endpoint.Name
+	// incarnation is the one that has numbered the end.
+	incarnation roster.Incarnation
 	number   int64
 	observed uint64
 }
@@ -344,7 +346,9 @@
 			"how", end.Kind.String(), "worker", e.observation.Worker)
 	}
 	if e.last > 0 {
-		t.acks = append(t.acks, ack{worker: e.observation.Worker, number: e.last, observed: t.observed})
+		t.acks = append(t.acks, ack{
+			worker: e.observation.Worker, incarnation: e.observation.Incarnation, number: e.last, observed: t.observed,
+		})
 	}
 }
 
