--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -83,8 +83,8 @@
 	worker endpoint.Name
 	// incarnation is the one that has numbered the end.
 	incarnation roster.Incarnation
-	number   int64
-	observed uint64
+	number      int64
+	observed    uint64
 }
 
 func newTerm(config Config, role *election.Role) *term {
