No VM leads before it knows a configuration

The jobs that it had read got no queue, so no worker served them: they were queued 60 s after the last fault, while jobs that came later ran. Ruled out: a stuck watch of the inbox, workers that take nothing (later jobs ran), the turns of first calls. Change: a term reads records once a configuration is known; a planner gives jobs without a queue the one that a later configuration names. TestQueueKnownLater failed before.

--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -84,10 +84,16 @@
 	}
 }
 
-// SetPolicy replaces the configuration in force.
+// SetPolicy replaces the configuration in force. Jobs keep what it said of their queue when they were accepted, unless
+// it said nothing.
 func (p *Planner) SetPolicy(next *policy.Policy) {
 	p.policy = next
 	p.changed = true
+	for _, j := range p.jobs {
+		if j.queue.Name == "" {
+			j.queue, _ = next.Queue(j.Queue)
+		}
+	}
 }
 
 // leaseEnd returns when a lease that was renewed at a time has ended on any worker's clock.
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -31,6 +31,8 @@
 	maxRest  = 50 * time.Millisecond
 	// maxOpening bounds the first calls to workers that are under way.
 	maxOpening = 64
+	// policyPause is the pause between two looks for the first configuration of a VM that has just started.
+	policyPause = 10 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 100 * time.Millisecond
 	// eventBuffer is the number of events that may wait for the control goroutine.
@@ -136,6 +138,10 @@
 // load reads everything that was accepted and recorded, and returns the revision from which the inbox is followed. It
 // tells whether the term goes on.
 func (t *term) load(ctx context.Context) (store.Revision, bool) {
+	for ctx.Err() == nil && t.config.Policy().Policy == nil {
+		// Without a configuration nothing is known of any queue.
+		wait.For(ctx, policyPause)
+	}
 	for ctx.Err() == nil {
 		at, err := t.read(ctx)
 		if err == nil {
