A VM that let another one answer does not answer by an older configuration afterwards

It did not know the route of a new version, let another VM answer, and 0.4 s later served a route that the same version had dropped by its own, older configuration. Change: after another VM has answered, the own configuration counts again once it was proven the newest since then. No test of its own yet; TestFaultMatrix and the rest of io/site stay green.

--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -69,6 +70,8 @@
 	site    Site
 	metrics *Metrics
 	log     hclog.Logger
+	// relayed is when another VM has last answered for this one; nil if none has.
+	relayed atomic.Pointer[time.Time]
 }
 
 // New returns an intake.
@@ -121,6 +124,9 @@
 	if c.snapshot.Policy == nil {
 		return i.passOn(ctx, c, i.refusal("no configuration is known yet"))
 	}
+	if !c.relayed && c.snapshot.Proven.Before(i.relayedAt()) {
+		return i.passOn(ctx, c, i.refusal("another VM may know a newer configuration"))
+	}
 	if refusal, refused := i.route(c); refused {
 		if i.fresh(c.snapshot) {
 			return refusal
@@ -193,6 +199,22 @@
 	return i.relay(ctx, c)
 }
 
+// noteRelayed remembers that another VM has answered a caller by its configuration, which may be newer. This VM's own
+// one counts again once it was proven the newest after that, so that no caller sees it go back.
+func (i *Intake) noteRelayed(a answer.Answer) {
+	if a.Kind != answer.Refused && a.Kind != answer.Unknown {
+		now := time.Now()
+		i.relayed.Store(&now)
+	}
+}
+
+func (i *Intake) relayedAt() time.Time {
+	if at := i.relayed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // relay lets another VM answer. A submission that one of them may have stored without answering is handed in again
 // until its outcome is known, as its ID makes it one job.
 func (i *Intake) relay(ctx context.Context, c *call) (answer.Answer, bool) {
@@ -202,6 +224,7 @@
 	for {
 		a, answered, certain := i.relayRound(settle, c)
 		if answered {
+			i.noteRelayed(a)
 			return a, true
 		}
 		uncertain = uncertain || !certain
