--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -260,11 +260,18 @@
 }
 
 func (f *fleet) putPolicy(version policy.Version) {
+	f.putQueues(version, policy.Queue{
+		Name: "batch", Host: testHost, Prefix: batchQueue, Service: "assay", Priority: 2, MaxAttempts: 3, Stretch: 3,
+	})
+}
+
+// putQueues configures the usual queues with another one in place of batchQueue.
+func (f *fleet) putQueues(version policy.Version, last policy.Queue) {
 	value, err := json.Marshal(policy.Policy{
 		Version: version,
 		Queues: []policy.Queue{
 			{Name: "urgent", Host: testHost, Prefix: urgentQueue, Service: "assay", MaxAttempts: 3, Stretch: 2},
-			{Name: "batch", Host: testHost, Prefix: batchQueue, Service: "assay", Priority: 2, MaxAttempts: 3, Stretch: 3},
+			last,
 			{
 				Name: "advised", Host: testHost, Prefix: advisedQueue, Service: "assay", Priority: 1, MaxAttempts: 3, Stretch: 3,
 				Advice: &policy.Advice{Decision: 50 * time.Millisecond, Period: 5 * time.Millisecond, Validity: 3 * time.Second},
--- a/io/site/spread_test.go
+++ b/io/site/spread_test.go
@@ -77,3 +77,30 @@
 		qt.Check(t, v.node.Ready(), qt.IsTrue)
 	})
 }
+
+// TestNeverGoesBack drops a queue and adds another one while the store refuses a VM. Once a caller has had an answer about the
+// new queue from that VM, which asked another one, the dropped queue is not there any more.
+func TestNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 4, 4)
+		defer f.close()
+		time.Sleep(15 * time.Second)
+		v := f.vms[3]
+		if v == f.leader() {
+			v = f.vms[2]
+		}
+		v.client.SetFaults(memstore.Faults{Refuse: true})
+		time.Sleep(2 * time.Second)
+		f.putQueues(2, policy.Queue{Name: "fresh", Host: testHost, Prefix: "/fresh/", Service: "assay", Priority: 2})
+		for range 100 {
+			if v.serve("GET", "/fresh/", nil).Kind == answer.Pending {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 50 {
+			qt.Check(t, v.serve("GET", batchQueue, nil).Kind, qt.Not(qt.Equals), answer.Pending)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
