Jobs: find accepted jobs again when the pages' history is too long for one answer

Cause, from a failing demo (four jobs left Accepted, all of them accepted by the VM that was the scheduler of the target itself, none of them in any later event): - The notice of a job to the scheduler of the same process ran under the context of the caller's request. A page holds all jobs of a batch and is rewritten for each commit, so five seconds of history exceeded the 8 MB that the client reads. Its error was swallowed. Ruled out: adoption, moves and held jobs (no event of the lost jobs in the timeline, WAITING 0 everywhere).

Change: an answer over the limit is store.ErrTooLarge; a watch that fails with it continues with the current items, as after a compaction (also in io/mirror). Notices no longer depend on the caller's context.

--- a/core/timeline/event.go
+++ b/core/timeline/event.go
@@ -22,6 +22,8 @@
 	SchedulerLost      Kind = "SchedulerLost"
 	StartsFrozen       Kind = "StartsFrozen"
 	StartsResumed      Kind = "StartsResumed"
+	SweepsFail         Kind = "SweepsFail"
+	SweepsResumed      Kind = "SweepsResumed"
 	WorkerLost         Kind = "WorkerLost"
 	WorkerReturned     Kind = "WorkerReturned"
 	WorkerQuarantined  Kind = "WorkerQuarantined"
--- a/io/controller/controller.go
+++ b/io/controller/controller.go
@@ -41,6 +41,8 @@
 	outageLease = time.Second
 	// sweepInterval is the time between two sweeps. A sweep reads all job pages that have changed since the last sweep.
 	sweepInterval = 5 * time.Second
+	// noticeTimeout is the timeout for reading the records that a notice names.
+	noticeTimeout = 2 * time.Second
 	// eventQueue is the capacity of the event channel.
 	eventQueue = 1024
 )
@@ -158,7 +160,12 @@
 	if !c.HoldsRole() {
 		return
 	}
-	c.background.Go(func() { c.readRecords(ctx, ids) })
+	c.background.Go(func() {
+		// The context of a caller ends with its call, but the notice must still be handled.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), noticeTimeout)
+		defer cancel()
+		c.readRecords(ctx, ids)
+	})
 }
 
 func (c *Controller) post(ctx context.Context, e event) {
--- a/io/controller/records.go
+++ b/io/controller/records.go
@@ -7,6 +7,7 @@
 	"auburnstack/core/domain"
 	"auburnstack/core/job"
 	"auburnstack/core/scheduler"
+	"auburnstack/core/timeline"
 	"auburnstack/io/peer"
 )
 
@@ -47,6 +48,7 @@
 			return
 		}
 		r.sweeping = false
+		c.recordSweepResult(e.err)
 		if e.err != nil {
 			return
 		}
@@ -58,6 +60,21 @@
 	}
 }
 
+// recordSweepResult records that sweeps have begun to fail, or that they succeed again. While they fail, a job whose
+// notice was lost is not found.
+func (c *Controller) recordSweepResult(err error) {
+	failing := err != nil
+	if failing == c.role.sweepsFail {
+		return
+	}
+	c.role.sweepsFail = failing
+	if failing {
+		c.Recorder.Record(timeline.SweepsFail, string(c.home()), err.Error())
+		return
+	}
+	c.Recorder.Record(timeline.SweepsResumed, string(c.home()), "")
+}
+
 // applyRecord updates the scheduler from a record that was read from the store: it queues, cancels or removes the job,
 // or stops its run if the record no longer allows that run. It ignores a record that is not newer than the last one
 // applied for the job.
--- a/io/controller/role.go
+++ b/io/controller/role.go
@@ -98,9 +98,11 @@
 	fence fenceState
 
 	// sweeping is set while a sweep runs.
+	// sweepsFail is set while the last sweep has failed.
 	// lastSweep is the time at which the last sweep began.
 	// sweepRevision is the store's revision from which the next sweep reads.
 	sweeping      bool
+	sweepsFail    bool
 	lastSweep     time.Time
 	sweepRevision platform.Revision
 }
--- a/io/entry/session_test.go
+++ b/io/entry/session_test.go
@@ -74,6 +74,8 @@
 	calls      sync.WaitGroup
 	outWindows []verify.Window
 	nodeIndex  int
+	// accepted holds the jobs that hangUpAfter has submitted.
+	accepted []job.ID
 }
 
 // The times at which the parts of a session begin or end, measured from its start.
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"auburnstack/io/store"
 	"auburnstack/io/wait"
@@ -89,7 +88,7 @@
 	}
 	for {
 		changes, err := m.watch(ctx, at)
-		if errors.Is(err, store.ErrCompacted) {
+		if store.HistoryLost(err) {
 			return nil
 		}
 		if err != nil {
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -114,16 +114,16 @@
 	}
 	var watched store.Changes
 	var err error
-	compacted := false
+	historyLost := false
 	err = c.call(ctx, callTimeout+wait, func(ctx context.Context) error {
 		watched, err = c.store.Watch(ctx, prefix, since, wait)
-		compacted = errors.Is(err, store.ErrCompacted)
-		if compacted {
+		historyLost = store.HistoryLost(err)
+		if historyLost {
 			return nil
 		}
 		return err
 	})
-	if compacted {
+	if historyLost {
 		return c.readAll(ctx, prefix)
 	}
 	changes := Changes{Revision: watched.Revision}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -82,8 +82,16 @@
 	ErrLeaseEnded = errors.New("the lease has ended")
 	// ErrCompacted reports a watch from a revision whose history the store has discarded.
 	ErrCompacted = errors.New("the store has discarded this history")
+	// ErrTooLarge reports an answer that is longer than a client reads. A watch that fails with it would fail again from
+	// the same revision: the client must read the current items instead.
+	ErrTooLarge = errors.New("the store's answer is too large")
 )
 
+// HistoryLost reports whether a watch cannot continue from its revision, so that the current items must be read.
+func HistoryLost(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge)
+}
+
 // ConflictError reports a transaction whose conditions did not hold.
 type ConflictError struct {
 	// Items holds the current items of the conditions' keys, without the keys that are absent.
--- a/standin/memstore/client.go
+++ b/standin/memstore/client.go
@@ -13,7 +13,7 @@
 
 // Client implements store.Store with calls to a Service, the simulated key-value service. Faults can be set for one
 // client or for the service, and each call is subject to both: Down and Refuse apply if they are set in either, the
-// delays Slow and PerItem are added, and the larger one of the two values of LoseReplies and of LateWrites applies.
+// delays Slow and PerItem are added, and the larger one of the two values of WatchBytes, LoseReplies and LateWrites applies.
 type Client struct {
 	service *Service
 
@@ -39,6 +39,7 @@
 	f.Down, f.Refuse = f.Down || serviceFaults.Down, f.Refuse || serviceFaults.Refuse
 	f.Slow += serviceFaults.Slow
 	f.PerItem += serviceFaults.PerItem
+	f.WatchBytes = max(f.WatchBytes, serviceFaults.WatchBytes)
 	f.LoseReplies = max(f.LoseReplies, serviceFaults.LoseReplies)
 	f.LateWrites = max(f.LateWrites, serviceFaults.LateWrites)
 	return f
@@ -136,6 +137,9 @@
 	defer timer.Stop()
 	for {
 		changes, changed, err := c.changesAfter(prefix, after)
+		if limit := c.currentFaults().WatchBytes; limit > 0 && valueBytes(changes.Events) > limit {
+			return store.Changes{}, store.ErrTooLarge
+		}
 		if err != nil || len(changes.Events) > 0 {
 			return changes, err
 		}
@@ -153,6 +157,15 @@
 	}
 }
 
+// valueBytes returns the total size of the events' values.
+func valueBytes(events []store.Event) int {
+	total := 0
+	for _, e := range events {
+		total += len(e.Value)
+	}
+	return total
+}
+
 // changesAfter returns the changes of keys with the given prefix after a revision, and a channel that is closed when
 // the service next notifies its watches, for example at a change of any key.
 func (c *Client) changesAfter(prefix string, after store.Revision) (store.Changes, <-chan struct{}, error) {
--- a/standin/memstore/faults.go
+++ b/standin/memstore/faults.go
@@ -13,6 +13,9 @@
 	Slow time.Duration
 	// PerItem is the transfer time of each item of a range, as on a slow link.
 	PerItem time.Duration
+	// WatchBytes is the maximum size of all values in one answer to a watch; a larger answer fails with
+	// store.ErrTooLarge. Zero means no limit.
+	WatchBytes int
 	// LoseReplies is the share of writes that are carried out but get no reply.
 	// LateWrites is the share of writes that are carried out up to three seconds late and get no reply.
 	LoseReplies, LateWrites float64
