--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -273,6 +273,14 @@
 	}
 }
 
+// mayRenewLease reports whether an order may renew the worker's lease. A start must, or the worker rejects it. The
+// lease must not be renewed while the worker is unresponsive, and cannot be while the worker's clock is unknown.
+func (l *link) mayRenewLease() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.unresponsive && l.clock != 0
+}
+
 func (l *link) isUnresponsive() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/coordinator/link_test.go
+++ b/io/coordinator/link_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"auburnstack/core/graph"
 	"auburnstack/core/planner"
 	"auburnstack/core/roster"
 	"auburnstack/io/election"
@@ -24,6 +25,7 @@
 	mu           sync.Mutex
 	answers      []func() (runner.HoldReply, error)
 	acknowledged []int64
+	starts       int
 }
 
 // Worker implements runner.Dialer.
@@ -46,9 +48,18 @@
 
 // Start implements runner.Worker.
 func (w *scriptedWorker) Start(context.Context, runner.Start) (runner.WorkerTime, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts++
 	return 0, runner.ErrUnanswered
 }
 
+func (w *scriptedWorker) startCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts
+}
+
 // Stop implements runner.Worker.
 func (w *scriptedWorker) Stop(context.Context, runner.Stop) error { return runner.ErrUnanswered }
 
@@ -110,3 +121,28 @@
 		Metrics: NewMetrics(metrics.NewSet()), Log: hclog.New(&hclog.LoggerOptions{Output: io.Discard}),
 	}, election.NewRole(context.Background(), 1, 1, func() time.Duration { return 0 }, time.Hour))
 }
+
+// TestNoStartWithoutClock checks that no start is sent to a worker that has restarted before the worker's clock is known
+// again. Such a start carries no valid lease: the worker rejects it, and the planner places the task there at once again.
+func TestNoStartWithoutClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &scriptedWorker{answers: []func() (runner.HoldReply, error){reply(1, 0)}}
+		term := newTestTerm(w)
+		go func() {
+			for range term.events {
+			}
+		}()
+		l := newLink(term, roster.Worker{Name: "w"})
+		term.links["w"] = l
+		term.orders = newOrders(term.role.Context(), term)
+		time.Sleep(100 * time.Millisecond)
+		l.setRegisteredIncarnation(2)
+		term.orders.issue(planner.Start{Worker: "w", Task: graph.TaskID{Job: "a"}, Run: 1})
+		synctest.Wait()
+		qt.Check(t, w.startCount(), qt.Equals, 0)
+		term.role.Resign()
+		l.Close()
+		term.work.Wait()
+		close(term.events)
+	})
+}
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -120,8 +120,7 @@
 
 func (o *orders) send(key orderKey, entry *order) {
 	l, linked := o.term.links[key.worker]
-	// A start renews the lease, which must not happen while the worker is unresponsive.
-	if !linked || !o.term.role.Valid() || l.isUnresponsive() && key.kind == startOrder {
+	if !linked || !o.term.role.Valid() || key.kind == startOrder && !l.mayRenewLease() {
 		entry.nextTry = time.Now().Add(orderRetryPause)
 		return
 	}
--- a/standin/memworker/fleet.go
+++ b/standin/memworker/fleet.go
@@ -44,6 +44,8 @@
 	// violations describes the recorded events that a correct scheduler never causes. Tests read it with the method
 	// Violations.
 	violations []string
+	// orderNote describes the delay of the order that is being carried out. It is appended to violations.
+	orderNote string
 	// lateShare is the share of orders to workers that are carried out late and get no reply.
 	lateShare float64
 	// overTargetSince holds the time since which the tail latency of a task has exceeded its target because of filler
@@ -228,7 +230,7 @@
 }
 
 func (f *Fleet) recordViolation(format string, args ...any) {
-	f.violations = append(f.violations, fmt.Sprintf(format, args...))
+	f.violations = append(f.violations, fmt.Sprintf(format, args...)+f.orderNote)
 }
 
 // Worker implements runner.Dialer.
