Planner: bound the work of one decision

Change: - Searches look at the workers that accept tasks and have free accelerators, listed once per decision. - Evictions count room by worker and update only the workers of the victim (tally); victims are collected once. - A unit that cannot be placed even without its own limits (avoided workers, spread limit) marks the demand of all units like it. - Waiting units are ranked by step, not one by one. - A call of Plan ends when it has examined 60,000 workers and tasks; the next call goes on with units not tried yet, the most urgent first, so that reports and renewals are handled in between.

--- a/core/planner/advice.go
+++ b/core/planner/advice.go
@@ -99,7 +99,8 @@
 	if len(wanted) == 0 {
 		return
 	}
-	for _, u := range p.queueOrder(now) {
+	for _, step := range p.queueOrder(now) {
+		u := step.units[0]
 		if !u.advised() {
 			continue
 		}
--- a/core/planner/group.go
+++ b/core/planner/group.go
@@ -47,10 +47,10 @@
 	if !u.urgent() {
 		n = spare.maxUnits(u.spec().Needs.Accelerators, n)
 	}
-	if n == 0 || r.failed[u.demand(r.now)] {
+	if n == 0 || p.knownToFail(r, u) {
 		return nil
 	}
-	candidates := p.candidates(u, n, p.outsideHeadroom(u, spare))
+	candidates := p.candidates(newSearch(r, u, n), p.outsideHeadroom(u, spare))
 	if u.job.queue.Priority > 0 {
 		return p.fill(candidates, n)
 	}
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -9,10 +9,11 @@
 // job earns no reward.
 const lateFactor = 3
 
-// rank holds the sort keys of a waiting unit.
-type rank struct {
-	unit *unit
-	// late is set when the unit is expected to finish later than lateFactor times the objective after the job was
+// waitingStep holds the waiting units of a step of one occurrence, with the sort keys that they share.
+type waitingStep struct {
+	// units are in no particular order.
+	units []*unit
+	// late is set when a unit is expected to finish later than lateFactor times the objective after the job was
 	// accepted or, for a recurring job, after its occurrence was due.
 	late     bool
 	priority int
@@ -20,29 +21,52 @@
 	deadline time.Time
 }
 
-// queueOrder returns the waiting units in the order in which they are placed.
-func (p *Planner) queueOrder(now time.Time) []*unit {
-	if !p.prefersUrgent() {
-		units := make([]*unit, 0, len(p.waiting))
-		for u := range p.waiting {
-			units = append(units, u)
-		}
-		p.baselineOrder(units, now)
-		return units
+// queueOrder returns the waiting units of each step, in the order in which the steps are placed.
+func (p *Planner) queueOrder(now time.Time) []*waitingStep {
+	if p.prefersUrgent() {
+		steps := p.waitingSteps(now)
+		sort.Slice(steps, func(i, j int) bool { return steps[i].before(steps[j]) })
+		return steps
 	}
-	ranks := make([]rank, 0, len(p.waiting))
+	units := make([]*unit, 0, len(p.waiting))
 	for u := range p.waiting {
-		ranks = append(ranks, p.rank(u, now))
+		units = append(units, u)
+	}
+	p.baselineOrder(units, now)
+	return splitByStep(units)
+}
+
+// splitByStep returns the runs of successive units that belong to the same step.
+func splitByStep(units []*unit) []*waitingStep {
+	var steps []*waitingStep
+	for i, u := range units {
+		if i == 0 || units[i-1].stepRef() != u.stepRef() {
+			steps = append(steps, &waitingStep{})
+		}
+		last := steps[len(steps)-1]
+		last.units = append(last.units, u)
 	}
-	sort.Slice(ranks, func(i, j int) bool { return ranks[i].before(&ranks[j]) })
-	units := make([]*unit, len(ranks))
-	for i := range ranks {
-		units[i] = ranks[i].unit
+	return steps
+}
+
+// waitingSteps returns the steps that have waiting units, in no particular order.
+func (p *Planner) waitingSteps(now time.Time) []*waitingStep {
+	known := map[stepRef]*waitingStep{}
+	var steps []*waitingStep
+	for u := range p.waiting {
+		step := known[u.stepRef()]
+		if step == nil {
+			step = p.rank(u, now)
+			known[u.stepRef()] = step
+			steps = append(steps, step)
+		}
+		step.units = append(step.units, u)
 	}
-	return units
+	return steps
 }
 
-func (p *Planner) rank(u *unit, now time.Time) rank {
+// rank returns a step without units, with the sort keys that a unit of the step has.
+func (p *Planner) rank(u *unit, now time.Time) *waitingStep {
 	begin := u.job.Accepted
 	if due := u.job.Due(u.occurrence); !due.IsZero() {
 		begin = due
@@ -53,23 +77,22 @@
 	if u.urgent() {
 		priority = 0
 	}
-	return rank{
-		unit:     u,
+	return &waitingStep{
 		late:     !u.spec().LongRunning && now.Add(work).After(begin.Add(lateFactor*objective)),
 		priority: priority,
 		deadline: begin.Add(objective),
 	}
 }
 
-func (r *rank) before(other *rank) bool {
-	if r.late != other.late {
+func (s *waitingStep) before(other *waitingStep) bool {
+	if s.late != other.late {
 		return other.late
 	}
-	if r.priority != other.priority {
-		return r.priority < other.priority
+	if s.priority != other.priority {
+		return s.priority < other.priority
 	}
-	if !r.deadline.Equal(other.deadline) {
-		return r.deadline.Before(other.deadline)
+	if !s.deadline.Equal(other.deadline) {
+		return s.deadline.Before(other.deadline)
 	}
-	return r.unit.less(other.unit)
+	return s.units[0].less(other.units[0])
 }
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -32,23 +32,78 @@
 // freeFunc returns the capacity that a worker can give to a unit.
 type freeFunc func(*worker) resources.Amounts
 
-// place returns one worker for each task of a unit, or nil if there is not enough free capacity.
-func (p *Planner) place(u *unit, now time.Time) []*worker {
-	return p.placeIn(u, (*worker).free, u.mayBeRemote(now))
+// search is the search for workers for a number of tasks of a unit's step.
+type search struct {
+	round *round
+	unit  *unit
+	tasks int
+	needs resources.Amounts
+	// remote is set if the unit may be spread over several racks or run outside the rack of its data.
+	remote bool
+	// avoided holds the workers on which the unit has failed and which it avoids for now.
+	avoided []*worker
+	// ignoreOwnLimits is set to find out whether the unit could be placed without its spread limit and its avoided
+	// workers.
+	ignoreOwnLimits bool
 }
 
-// placeIn returns one worker for each task of a unit, using the capacity that the function free returns, or nil. Unless
-// the parameter remote is set, placeIn returns nil rather than spread a unit that asks for a single rack or place a
-// unit outside the rack of its data. It gives slow workers to a unit of priority 0 only if the others do not suffice.
-func (p *Planner) placeIn(u *unit, free freeFunc, remote bool) []*worker {
-	candidates := p.candidates(u, u.size(), free)
-	if u.job.queue.Priority == 0 {
+func newSearch(r *round, u *unit, tasks int) search {
+	s := search{round: r, unit: u, tasks: tasks, needs: u.spec().Reserved(), remote: u.mayBeRemote(r.now)}
+	if r.now.Sub(u.waitingSince) < avoidWait {
+		s.avoided = u.avoidedWorkers
+	}
+	return s
+}
+
+// needsOneRack reports whether the unit must be placed in a single rack.
+func (s search) needsOneRack() bool {
+	return !s.remote && (s.unit.spec().SameRack || s.unit.spec().DataRack != "")
+}
+
+// count returns the number of tasks that fit into the available capacity of a worker.
+func (s search) count(w *worker, available resources.Amounts) int {
+	count := available.Count(s.needs, s.tasks)
+	limit := s.unit.spec().SpreadLimit
+	if count > 0 && limit > 0 && !s.ignoreOwnLimits {
+		count = max(min(count, limit-w.countSameStep(s.unit)), 0)
+	}
+	return count
+}
+
+func (s search) candidate(w *worker, available resources.Amounts, count int) candidate {
+	return candidate{
+		worker: w, count: count, available: available.Accelerators, remaining: available.Sub(s.needs.Times(count)),
+	}
+}
+
+// eligible reports whether tasks may run on an accepting worker if it has enough free capacity.
+func (p *Planner) eligible(s search, w *worker) bool {
+	if label := s.unit.spec().Label; label != "" && !w.HasLabel(label) {
+		return false
+	}
+	if s.unit.advised() && !p.hasPermit(s.unit, w, s.round.now) {
+		return false
+	}
+	return s.ignoreOwnLimits || !slices.Contains(s.avoided, w)
+}
+
+// place returns one worker for each task of a search, using the capacity that the function free returns, or nil if
+// there is not enough.
+func (p *Planner) place(s search, free freeFunc) []*worker {
+	return p.choose(s, p.candidates(s, free))
+}
+
+// choose returns one of the candidates for each task of a search, or nil. Unless the search is remote, choose returns
+// nil rather than spread a unit that asks for a single rack or place a unit outside the rack of its data. It gives slow
+// workers to a unit of priority 0 only if the others do not suffice.
+func (p *Planner) choose(s search, candidates []candidate) []*worker {
+	if s.unit.job.queue.Priority == 0 {
 		fast, _ := p.bySpeed(candidates)
-		if places := p.placeAmong(u, fast, remote); places != nil {
+		if places := p.placeAmong(s, fast); places != nil {
 			return places
 		}
 	}
-	return p.placeAmong(u, candidates, remote)
+	return p.placeAmong(s, candidates)
 }
 
 // bySpeed separates the candidates that are known to be slow from the others.
@@ -63,27 +118,27 @@
 	return fast, slow
 }
 
-// placeAmong returns one of the given candidates for each task of a unit, or nil. It tries the rack of the unit's data
+// placeAmong returns one of the given candidates for each task of a search, or nil. It tries the rack of the unit's data
 // first.
-func (p *Planner) placeAmong(u *unit, candidates []candidate, remote bool) []*worker {
-	step := u.spec()
-	if !p.enough(candidates, u.size()) {
+func (p *Planner) placeAmong(s search, candidates []candidate) []*worker {
+	step := s.unit.spec()
+	if !p.enough(candidates, s.tasks) {
 		return nil
 	}
 	if rack := step.DataRack; rack != "" {
-		if places := p.pick(inRack(candidates, endpoint.Rack(rack)), u.size()); places != nil {
+		if places := p.pick(inRack(candidates, endpoint.Rack(rack)), s.tasks); places != nil {
 			return places
 		}
 	}
-	if step.SameRack || step.DataRack != "" {
-		if places := p.pickRack(candidates, u.size()); places != nil && step.DataRack == "" {
+	if step.SameRack && step.DataRack == "" {
+		if places := p.pickRack(candidates, s.tasks); places != nil {
 			return places
 		}
-		if !remote {
-			return nil
-		}
 	}
-	return p.pick(candidates, u.size())
+	if s.needsOneRack() {
+		return nil
+	}
+	return p.pick(candidates, s.tasks)
 }
 
 // mayBeRemote reports whether a unit has waited long enough to be spread over several racks or to run away from its
@@ -101,32 +156,19 @@
 	return total >= size
 }
 
-// candidates returns the workers that can take at least one task of a unit's step. The field count of each candidate is
-// at most the given number of tasks.
-func (p *Planner) candidates(u *unit, tasks int, free freeFunc) []candidate {
-	now := p.now
-	step := u.spec()
-	reserved := step.Reserved()
+// candidates returns the workers that can take at least one task of a search. The field count of each candidate is at
+// most the number of tasks.
+func (p *Planner) candidates(s search, free freeFunc) []candidate {
+	open := p.viewOf(s.round, s.unit.job.queue.Service).open(s.needs)
+	s.round.examined += len(open)
 	var list []candidate
-	for _, w := range p.workersByName {
-		if w.Service != u.job.queue.Service || !p.accepts(w, now) || step.Label != "" && !w.HasLabel(step.Label) {
-			continue
-		}
-		if u.advised() && !p.hasPermit(u, w, now) {
-			continue
-		}
-		if now.Sub(u.waitingSince) < avoidWait && slices.Contains(u.avoidedWorkers, w) {
-			continue
-		}
+	for _, w := range open {
 		available := free(w)
-		count := available.Count(reserved, tasks)
-		if count > 0 && step.SpreadLimit > 0 {
-			count = min(count, step.SpreadLimit-w.countSameStep(u))
+		if !s.needs.Fits(available) || !p.eligible(s, w) {
+			continue
 		}
-		if count > 0 {
-			list = append(list, candidate{
-				worker: w, count: count, available: available.Accelerators, remaining: available.Sub(reserved.Times(count)),
-			})
+		if count := s.count(w, available); count > 0 {
+			list = append(list, s.candidate(w, available, count))
 		}
 	}
 	return list
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"auburnstack/core/endpoint"
-	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 )
 
@@ -64,54 +63,78 @@
 	}
 }
 
+// placeWaiting places waiting units in the order of their urgency, until all have been tried or the call has examined as
+// many workers as it may. In the latter case the next call of Plan continues.
 func (p *Planner) placeWaiting(now time.Time) {
-	round := &round{now: now, spare: map[string]*spareCapacity{}, failed: map[demand]bool{}}
-	units := p.queueOrder(now)
-	for len(units) > 0 {
-		group := leadingGroup(units)
-		units = units[len(group):]
-		p.placeGroup(group, round)
+	r := p.continueRound(now)
+	defer func() { p.lastExamined = r.examined }()
+	for _, step := range p.queueOrder(now) {
+		units := r.untried(step.units)
+		sortUnits(units)
+		for len(units) > 0 {
+			if r.exhausted() {
+				p.needsPlacement = true
+				return
+			}
+			group := leadingGroup(units)
+			units = units[len(group):]
+			r.markTried(group)
+			p.placeGroup(group, r)
+		}
 	}
+	p.round = nil
 }
 
-// round is the state of one pass over all waiting units.
-type round struct {
-	now time.Time
-	// spare holds the capacity of each service that is available to units that are not urgent.
-	spare map[string]*spareCapacity
-	// failed holds the demands (the properties that decide whether a unit can be placed) for which no placement was
-	// found.
-	failed map[demand]bool
-}
-
-// spareFor returns the spare capacity of a service and computes it once per round.
-func (p *Planner) spareFor(r *round, service string) *spareCapacity {
-	if _, counted := r.spare[service]; !counted {
-		r.spare[service] = p.computeSpare(service, r.now)
-	}
-	return r.spare[service]
+// InRound reports whether the last call of Plan has left waiting units for the next call.
+func (p *Planner) InRound() bool {
+	return p.round != nil
 }
 
 // placeOne places a single unit. For an urgent unit, it preempts other work if there is not enough free capacity.
 func (p *Planner) placeOne(u *unit, r *round) {
 	spare := p.spareFor(r, u.job.queue.Service)
 	wanted := u.spec().Needs.Accelerators * int64(u.size())
-	if !u.urgent() && !spare.allows(wanted) {
+	if !u.urgent() && !spare.allows(wanted) || p.knownToFail(r, u) {
 		return
 	}
-	key := u.demand(r.now)
-	if r.failed[key] {
+	found := p.find(newSearch(r, u, u.size()), spare)
+	if found == nil {
+		p.markFailed(u, r, spare)
 		return
 	}
-	places := p.placeAvoidingHeadroom(u, r.now, spare)
-	if places == nil && u.urgent() && p.prefersUrgent() {
-		places = p.preemptFor(u, r.now)
+	for _, v := range found.victims {
+		p.displace(v.unit, r.now)
+	}
+	if len(found.victims) > 0 {
+		r.forgetWorkers()
+	}
+	p.assign(u, found.places, r)
+}
+
+// find returns workers for a unit and the work to stop there, or nil.
+func (p *Planner) find(s search, spare *spareCapacity) *eviction {
+	if places := p.placeAvoidingHeadroom(s, spare); places != nil {
+		return &eviction{places: places}
+	}
+	if s.unit.urgent() && p.prefersUrgent() {
+		return p.findEviction(s)
 	}
-	if places == nil {
-		r.failed[key] = true
+	return nil
+}
+
+// markFailed records that a unit cannot be placed. If the unit could not be placed without its own limits either, this
+// holds for all units with the same common demand.
+func (p *Planner) markFailed(u *unit, r *round, spare *spareCapacity) {
+	key := p.demandFor(r, u)
+	r.failed[key] = true
+	if key.unit == nil || u.advised() {
 		return
 	}
-	p.assign(u, places, r)
+	s := newSearch(r, u, u.size())
+	s.ignoreOwnLimits = true
+	if p.find(s, spare) == nil {
+		r.failed[p.commonDemand(r, u)] = true
+	}
 }
 
 // assign reserves capacity for a unit on the given workers, one worker per task.
@@ -128,49 +151,20 @@
 
 // placeAvoidingHeadroom returns workers for a unit, or nil. A unit that is neither urgent nor in a queue with advice
 // may use the racks kept free for urgent units only after headroomWait, or if its data is in one of them.
-func (p *Planner) placeAvoidingHeadroom(u *unit, now time.Time, spare *spareCapacity) []*worker {
+func (p *Planner) placeAvoidingHeadroom(s search, spare *spareCapacity) []*worker {
+	u := s.unit
 	if u.urgent() || u.advised() || len(spare.keptFree) == 0 {
-		return p.place(u, now)
+		return p.place(s, (*worker).free)
 	}
-	places := p.placeIn(u, p.outsideHeadroom(u, spare), false)
-	if places == nil && (now.Sub(u.waitingSince) >= headroomWait || spare.keptFree[endpoint.Rack(u.spec().DataRack)]) {
-		places = p.place(u, now)
+	outside := s
+	outside.remote = false
+	places := p.place(outside, p.outsideHeadroom(u, spare))
+	if places == nil && (s.round.now.Sub(u.waitingSince) >= headroomWait || spare.keptFree[endpoint.Rack(u.spec().DataRack)]) {
+		places = p.place(s, (*worker).free)
 	}
 	return places
 }
 
-// demand holds the properties that decide whether a unit can be placed. If one unit cannot be placed, no other unit
-// with the same demand can be placed until capacity is freed, so the rest of the round skips the units with this
-// demand.
-type demand struct {
-	service        string
-	priority       int
-	size           int
-	needs          resources.Amounts
-	label          string
-	dataRack       string
-	sameRack       bool
-	remote         bool
-	avoidsHeadroom bool
-	// unit is set for units whose placement depends on more than the other fields.
-	unit *unit
-}
-
-func (u *unit) demand(now time.Time) demand {
-	step := u.spec()
-	d := demand{
-		service: u.job.queue.Service, priority: u.job.queue.Priority, size: u.size(), needs: step.Reserved(),
-		label: step.Label, dataRack: step.DataRack, sameRack: step.SameRack, remote: u.mayBeRemote(now),
-		avoidsHeadroom: now.Sub(u.waitingSince) < headroomWait,
-	}
-	// The work that an urgent unit may preempt depends on its account's guarantee. The workers that a unit may use
-	// depend on its spread limit, its earlier failures and the adviser's answers.
-	if step.SpreadLimit > 0 || len(u.avoidedWorkers) > 0 || u.urgent() || u.advised() {
-		d.unit = u
-	}
-	return d
-}
-
 // recordPlacements submits placements for storage once their workers have enough free capacity. It withdraws
 // placements on workers that no longer accept tasks, and makes their units wait again.
 func (p *Planner) recordPlacements(now time.Time) {
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -61,7 +61,14 @@
 	lastSweep time.Time
 	// needsPlacement is set when an event may have made a placement possible.
 	needsPlacement bool
-	estimator      *estimator
+	// round is the pass over the waiting units that the last call of Plan has not finished, or nil. rounds is the number
+	// of rounds that have begun.
+	round  *round
+	rounds uint64
+	// examineLimit is maxExamined, but for tests. lastExamined is the number of workers and running tasks that the last
+	// call of Plan has examined to place units.
+	examineLimit, lastExamined int
+	estimator                  *estimator
 	// advice holds, for each step, the adviser's answers about the workers that may run the step.
 	advice       map[graph.StepID]*advice
 	consultation consultation
@@ -87,6 +94,7 @@
 		advice:           map[graph.StepID]*advice{},
 		sizes:            map[roster.Size]int{},
 		estimator:        newEstimator(),
+		examineLimit:     maxExamined,
 	}
 }
 
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -56,6 +56,8 @@
 	placedAt, finishedAt time.Time
 	// resumed is set when the newest run started from a checkpoint.
 	resumed bool
+	// triedIn is the number of the last round that tried to place the unit.
+	triedIn uint64
 	// recordVersion is the version of the job's progress that contains the newest placement.
 	recordVersion uint64
 }
@@ -83,6 +85,16 @@
 	return graph.TaskID{Job: u.job.ID, Occurrence: u.occurrence, Step: u.step, Index: u.index + member}
 }
 
+// stepRef identifies a step of one occurrence of a job.
+type stepRef struct {
+	job              *jobState
+	occurrence, step int
+}
+
+func (u *unit) stepRef() stepRef {
+	return stepRef{job: u.job, occurrence: u.occurrence, step: u.step}
+}
+
 // less orders units by job, occurrence, step and index, which makes decisions deterministic.
 func (u *unit) less(other *unit) bool {
 	if u.job.ID != other.job.ID {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -229,7 +229,14 @@
 	defer ticker.Stop()
 	t.publishCounts()
 	t.decide()
+	// ready is always readable.
+	ready := make(chan struct{})
+	close(ready)
 	for {
+		var unfinished chan struct{}
+		if t.planner.InRound() {
+			unfinished = ready
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -240,6 +247,8 @@
 			t.planner.Tick()
 			t.publishCounts()
 			t.removeOldJobs(ctx)
+		case <-unfinished:
+			// The last decision has left waiting units for the next one.
 		}
 		start := time.Now()
 		t.decide()
