--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -98,6 +98,16 @@
 	MaxTasks = 4096
 	// MaxSteps is the maximum number of steps in a job.
 	MaxSteps = 256
+	// MaxJobTasks is the maximum number of tasks in all steps and occurrences of a job together. The progress of all
+	// tasks is one value of the store, which holds at most a megabyte.
+	MaxJobTasks = 8192
+	// MaxAmount is the largest amount of a resource that a task may need, in the units of resources.Amounts. The sums over
+	// many tasks must not overflow.
+	MaxAmount = 1 << 32
+	// MaxDuration is the longest estimate, and the longest time from the first to the last occurrence.
+	MaxDuration = 10 * 365 * 24 * time.Hour
+	// maxYear is the last year of times that can be encoded.
+	maxYear = 9999
 )
 
 // ErrInvalid reports a submission that violates the rules or limits for jobs.
@@ -112,24 +122,55 @@
 		return errors.WithMessagef(ErrInvalid, "its spec has more than %d bytes", MaxSpec)
 	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
 		return errors.WithMessagef(ErrInvalid, "it has %d steps, not 1 to %d", len(j.Steps), MaxSteps)
-	case j.Recurrence != nil && j.Recurrence.Count > 1 && j.Recurrence.Interval <= 0:
-		return errors.WithMessage(ErrInvalid, "it recurs without an interval")
 	}
+	if err := j.Recurrence.validate(); err != nil {
+		return err
+	}
+	tasks := 0
 	for i := range j.Steps {
 		if err := j.validateStep(i); err != nil {
 			return err
 		}
+		tasks += j.Steps[i].Tasks
+	}
+	if tasks > MaxJobTasks/j.Occurrences() {
+		return errors.WithMessagef(ErrInvalid, "all its occurrences have more than %d tasks", MaxJobTasks)
 	}
 	return nil
 }
 
+func (r *Recurrence) validate() error {
+	switch {
+	case r == nil:
+		return nil
+	case r.Count < 1 || r.Count > MaxJobTasks:
+		return errors.WithMessagef(ErrInvalid, "it has %d occurrences, not 1 to %d", r.Count, MaxJobTasks)
+	case r.Count > 1 && r.Interval <= 0:
+		return errors.WithMessage(ErrInvalid, "it recurs without an interval")
+	case r.Interval < 0 || r.Interval > MaxDuration/time.Duration(r.Count):
+		return errors.WithMessage(ErrInvalid, "its last occurrence is due more than ten years after the first")
+	case r.First.Year() < 0 || r.First.Add(MaxDuration).Year() > maxYear:
+		return errors.WithMessage(ErrInvalid, "the time of its first occurrence is out of range")
+	default:
+		return nil
+	}
+}
+
 func (j *Job) validateStep(i int) error {
 	step := &j.Steps[i]
 	if step.Tasks < 1 || step.Tasks > MaxTasks {
 		return errors.WithMessagef(ErrInvalid, "step %d has %d tasks, not 1 to %d", i, step.Tasks, MaxTasks)
 	}
-	if step.Needs.CPU < 0 || step.Needs.Memory < 0 || step.Needs.Accelerators < 0 {
-		return errors.WithMessagef(ErrInvalid, "step %d needs a negative amount", i)
+	for _, amount := range []int64{step.Needs.CPU, step.Needs.Memory, step.Needs.Accelerators} {
+		if amount < 0 || amount > MaxAmount {
+			return errors.WithMessagef(ErrInvalid, "step %d needs the amount %d, not 0 to %d", i, amount, MaxAmount)
+		}
+	}
+	if step.Estimate < 0 || step.Estimate > MaxDuration || step.TailTarget < 0 {
+		return errors.WithMessagef(ErrInvalid, "step %d has a duration that is negative or too long", i)
+	}
+	if len(step.After) > i {
+		return errors.WithMessagef(ErrInvalid, "step %d waits for %d steps, but %d are earlier", i, len(step.After), i)
 	}
 	for _, earlier := range step.After {
 		if earlier < 0 || earlier >= i {
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	d.peerServer = peer.NewServer(peerListener, transport, NewPeerHandler(d.node))
+	d.peerServer = peer.NewServer(peerListener, transport, NewPeerHandler(d.node), d.log)
 	d.operatorServer, err = operator.New(operatorListener, operator.Dependencies{
 		Credential: d.settings.Operators.Credential, Follower: d.node.Follower, Directory: d.node.Directory,
 		Fleet: d.node.Fleet, Metrics: newMetrics(d.node), Accepted: d.editAccepted,
--- a/io/peer/credentials_test.go
+++ b/io/peer/credentials_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"auburnstack/core/table"
 	"auburnstack/core/vm"
@@ -90,7 +91,7 @@
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	s := NewServer(listener, transport, echo{})
+	s := NewServer(listener, transport, echo{}, hclog.NewNullLogger())
 	defer s.Close()
 	transport, err = Credentials(client)
 	c.Assert(err, qt.IsNil)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -16,6 +17,7 @@
 	"auburnstack/core/table"
 	"auburnstack/core/timeline"
 	"auburnstack/io/peer/peerpb"
+	"auburnstack/io/rpcserver"
 )
 
 // stopTimeout bounds the wait for in-flight calls when the server closes.
@@ -31,10 +33,10 @@
 }
 
 // NewServer starts a server on a listener.
-func NewServer(listener net.Listener, transport Transport, local Peer) *Server {
+func NewServer(listener net.Listener, transport Transport, local Peer, log hclog.Logger) *Server {
 	s := &Server{
 		local: local,
-		grpc:  grpc.NewServer(grpc.Creds(transport), grpc.MaxRecvMsgSize(maxMessage)),
+		grpc:  rpcserver.New(log, grpc.Creds(transport), grpc.MaxRecvMsgSize(maxMessage)),
 		done:  make(chan struct{}),
 	}
 	peerpb.RegisterPeerServer(s.grpc, s)
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
@@ -18,6 +19,7 @@
 	"auburnstack/core/vm"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay/relaypb"
+	"auburnstack/io/rpcserver"
 	"auburnstack/io/store"
 )
 
@@ -36,8 +38,8 @@
 }
 
 // NewServer starts a server that passes the messages received on a listener to a handler.
-func NewServer(listener net.Listener, handler Handler) *Server {
-	s := &Server{rpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage)), done: make(chan struct{})}
+func NewServer(listener net.Listener, handler Handler, log hclog.Logger) *Server {
+	s := &Server{rpc: rpcserver.New(log, grpc.MaxRecvMsgSize(maxMessage)), done: make(chan struct{})}
 	relaypb.RegisterRelayServer(s.rpc, &service{handler: handler})
 	go func() {
 		defer close(s.done)
