--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -118,8 +118,8 @@
 	p.enqueue(u, now)
 }
 
-// ExpireLeases marks all runs on workers whose leases have expired as lost.
-func (p *Planner) ExpireLeases(now time.Time) {
+// expireLeases marks all runs on workers whose leases have expired as lost.
+func (p *Planner) expireLeases(now time.Time) {
 	for _, w := range p.workersByName {
 		if len(w.members) == 0 || now.Before(w.leaseEnd) {
 			continue
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -37,8 +37,7 @@
 	if _, known := p.jobs[job.ID]; known {
 		return
 	}
-	j := p.newJob(job)
-	p.jobs[job.ID] = j
+	j := p.addJob(job)
 	if j.queue.Priority == 0 {
 		p.headroom.recordArrival(job, now)
 	}
@@ -52,8 +51,7 @@
 	if _, known := p.jobs[job.ID]; known {
 		return
 	}
-	j := p.newJob(job)
-	p.jobs[job.ID] = j
+	j := p.addJob(job)
 	j.state, j.stored = progress.State, progress.State
 	j.reason, j.ended = progress.Reason, progress.Ended
 	for _, record := range progress.Units {
@@ -112,6 +110,15 @@
 	}
 }
 
+func (p *Planner) addJob(job *graph.Job) *jobState {
+	j := p.newJob(job)
+	p.jobs[job.ID] = j
+	if job.Recurrence != nil {
+		p.recurring[job.ID] = j
+	}
+	return j
+}
+
 func (p *Planner) newJob(job *graph.Job) *jobState {
 	j := &jobState{Job: job, state: graph.Queued, stored: graph.Queued, stopCounts: map[StopReason]int{}}
 	j.queue, _ = p.policy.Queue(job.Queue)
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -16,7 +16,7 @@
 	// headroomWait is the time for which a unit that is not urgent waits for capacity outside the racks that are
 	// kept free for urgent units.
 	headroomWait = 3 * time.Second
-	// sweepInterval is the minimum time between two checks of all running tasks for conditions that depend only on
+	// sweepInterval is the minimum time between two checks of all workers and jobs for conditions that depend only on
 	// time.
 	sweepInterval = 50 * time.Millisecond
 	// capacityTimeout is the time for which a placement waits for stopped runs to free their capacity. After that,
@@ -28,26 +28,43 @@
 // TakeChanges returns them, and a later call of Plan returns their start orders.
 func (p *Planner) Plan(now time.Time) []Action {
 	p.now = now
-	p.ExpireLeases(now)
-	p.unblockDue(now)
-	p.drainRetired()
-	if now.Sub(p.lastSweep) >= sweepInterval {
+	if p.SweepDue(now) {
 		p.lastSweep = now
-		p.stopStalled(now)
-		p.stopLeftovers(now)
-		p.paceFillers(now)
+		p.sweep(now)
 	}
+	p.drainRetired()
 	p.consult(now)
 	if p.needsPlacement {
 		p.needsPlacement = false
 		p.recordPlacements(now)
 		p.placeWaiting(now)
 	}
+	return p.TakeActions()
+}
+
+// TakeActions returns the actions that follow from the events since the last call of Plan or TakeActions alone. It places
+// no waiting units and looks at no conditions that depend on time, so it costs little.
+func (p *Planner) TakeActions() []Action {
 	actions := p.actions
 	p.actions = nil
 	return actions
 }
 
+// SweepDue reports whether the next call of Plan checks all workers for expired leases and for conditions that depend on
+// time. The lease renewals that were sent must be known to the planner by then.
+func (p *Planner) SweepDue(now time.Time) bool {
+	return now.Sub(p.lastSweep) >= sweepInterval
+}
+
+// sweep checks all workers and jobs for conditions that depend only on time.
+func (p *Planner) sweep(now time.Time) {
+	p.expireLeases(now)
+	p.unblockDue(now)
+	p.stopStalled(now)
+	p.stopLeftovers(now)
+	p.paceFillers(now)
+}
+
 // Tick makes the next call of Plan try all placements again, because a placement can become possible by the passage of
 // time alone.
 func (p *Planner) Tick() {
@@ -56,10 +73,12 @@
 
 // unblockDue makes the units of recurring jobs ready for placement when the due time of their occurrence approaches.
 func (p *Planner) unblockDue(now time.Time) {
-	for _, j := range p.jobs {
-		if j.Recurrence != nil && !j.state.Final() {
-			p.unblock(j, now)
+	for id, j := range p.recurring {
+		if j.state.Final() {
+			delete(p.recurring, id)
+			continue
 		}
+		p.unblock(j, now)
 	}
 }
 
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -45,7 +45,11 @@
 	workers  map[endpoint.Name]*worker
 	// workersByName lists the workers sorted by name, which makes decisions deterministic.
 	workersByName []*worker
-	jobs          map[graph.ID]*jobState
+	// anyRetired is set if a worker may be retired.
+	anyRetired bool
+	jobs       map[graph.ID]*jobState
+	// recurring holds the recurring jobs that have not ended.
+	recurring map[graph.ID]*jobState
 	// waiting holds the units that can be placed.
 	waiting map[*unit]struct{}
 	// awaitingCapacity holds the units that have been assigned workers and wait until these workers have enough free
@@ -56,8 +60,7 @@
 	actions []Action
 	// now is the time that was passed to the current or last call of Plan.
 	now time.Time
-	// lastSweep is the time at which the planner last checked all running tasks for stalls, runs of finished gangs and
-	// pacing.
+	// lastSweep is the time of the last call of sweep.
 	lastSweep time.Time
 	// needsPlacement is set when an event may have made a placement possible.
 	needsPlacement bool
@@ -88,6 +91,7 @@
 		policy:           p,
 		workers:          map[endpoint.Name]*worker{},
 		jobs:             map[graph.ID]*jobState{},
+		recurring:        map[graph.ID]*jobState{},
 		waiting:          map[*unit]struct{}{},
 		awaitingCapacity: map[*unit]struct{}{},
 		dirty:            map[graph.ID]*jobState{},
--- a/core/planner/retire.go
+++ b/core/planner/retire.go
@@ -10,6 +10,7 @@
 func (p *Planner) Retire(name endpoint.Name, retired bool) {
 	if w, known := p.workers[name]; known && w.retired != retired {
 		w.retired = retired
+		p.anyRetired = p.anyRetired || retired
 		p.needsPlacement = true
 	}
 }
@@ -17,10 +18,15 @@
 // drainRetired stops the tasks on retired workers that can continue on other workers: tasks that resume from a
 // checkpoint and long-running tasks, as far as the absence limit of their step allows.
 func (p *Planner) drainRetired() {
+	if !p.anyRetired {
+		return
+	}
+	p.anyRetired = false
 	for _, w := range p.workersByName {
 		if !w.retired {
 			continue
 		}
+		p.anyRetired = true
 		for _, m := range w.sortedMembers() {
 			step := m.unit.spec()
 			if m.unit.phase == running && (step.Checkpoints || step.LongRunning) && p.mayStop(m.unit) {
--- /dev/null
+++ b/io/coordinator/handle.go
@@ -0,0 +1,114 @@
+package coordinator
+
+import (
+	"time"
+
+	"auburnstack/core/endpoint"
+)
+
+// handle applies an event to the state of the term.
+func (t *term) handle(e event) {
+	now := time.Now()
+	switch e := e.(type) {
+	case workersChanged:
+		t.planner.SetWorkers(e.workers, now)
+		t.updateLinks()
+	case jobsAccepted:
+		t.accept(e, now)
+	case holdAnswered:
+		t.observe(e, now)
+	case holdUnanswered:
+		t.handleUnansweredHold(e.worker, now)
+	case workerReplaced:
+		t.config.Log.Info("worker replaced", "worker", e.worker)
+		t.planner.WorkerExited(e.worker, now)
+	case startAnswered:
+		t.planner.StartAnswered(e.start, e.outcome, now)
+		t.orders.startAnswered(e)
+	case stopAnswered:
+		if e.accepted {
+			t.planner.StopAnswered(e.stop, now)
+		}
+		t.orders.stopAnswered(e)
+	case flushDone:
+		t.finishFlush(e, now)
+	case policyChanged:
+		t.planner.SetPolicy(t.policy())
+		t.waves.SetWaves(t.policy().Waves, now)
+	default:
+		t.handleOtherEvent(e, now)
+	}
+}
+
+// handleOtherEvent handles the events that handle does not: replies to pace orders, results of calls to the adviser and
+// the inventory, the storage of reports on upkeep waves, and queries of the state of a job.
+func (t *term) handleOtherEvent(e event, now time.Time) {
+	switch e := e.(type) {
+	case paceAnswered:
+		t.orders.paceAnswered(e)
+	case consultAnswered:
+		t.planner.ConsultAnswered(e.question, e.advice.Tickets, e.advice.Validity, e.answered, now)
+	case machinesListed:
+		t.waves.SetMachines(e.machines)
+	case waveRecorded:
+		t.reportInFlight = false
+		t.waves.Recorded(e.record)
+	case upkeepAnswered:
+		t.waves.Answered(e.begin, e.outcome, now)
+	case stateQuery:
+		state, known := t.planner.State(e.id)
+		e.reply <- JobStatus{State: state, Known: known}
+	}
+}
+
+// handleUnansweredHold tells the planner that a worker does not reply. It also probes the other workers of the same
+// failure domain, as they may be unreachable too, at most once per probeInterval.
+func (t *term) handleUnansweredHold(name endpoint.Name, now time.Time) {
+	t.planner.SetResponsive(name, false)
+	l, linked := t.links[name]
+	if !linked {
+		return
+	}
+	failureDomain := l.info.FailureDomain
+	if now.Sub(t.lastProbe[failureDomain]) < probeInterval {
+		return
+	}
+	t.lastProbe[failureDomain] = now
+	for _, other := range t.links {
+		if other != l && other.info.FailureDomain == failureDomain {
+			other.Probe()
+		}
+	}
+}
+
+func (t *term) accept(e jobsAccepted, now time.Time) {
+	for _, job := range e.jobs {
+		if !t.planner.Has(job.ID) {
+			t.config.Log.Info("job queued", "job", job.ID, "queue", job.Queue, "steps", len(job.Steps),
+				"age", now.Sub(job.Accepted).String())
+		}
+		t.planner.Submit(job, now)
+	}
+	for _, id := range e.canceled {
+		if t.planner.Cancel(id, now) {
+			t.config.Log.Info("job canceled", "job", id)
+		}
+	}
+}
+
+func (t *term) observe(e holdAnswered, now time.Time) {
+	t.observations++
+	t.planner.SetResponsive(e.observation.Worker, true)
+	t.planner.Observe(e.observation, now)
+	for i := range e.observation.Ended {
+		end := &e.observation.Ended[i]
+		t.config.Metrics.runEnded(end.Kind)
+		t.config.Log.Info("run ended", "job", end.Task.Job, "task", end.Task.String(), "run", end.Run,
+			"how", end.Kind.String(), "worker", e.observation.Worker)
+	}
+	if e.lastEnd > 0 {
+		t.acks = append(t.acks, ack{
+			worker: e.observation.Worker, incarnation: e.observation.Incarnation, number: e.lastEnd, observation: t.observations,
+		})
+	}
+}
