Planner: a late report is no stall; tasks that run for hours may make a percent in many seconds

A task counted as stalled once 2.5 s had passed since its percent last changed, and percents arrive with reports: a worker of a large site delays its reply to a hold by up to 2 s, and more passes until the leader handles it.

Change: the time without progress is measured by the worker's own clock between two of its reports that show the same percent, so silence and delays do not count, and lasts at least as long as four percent have taken so far or should take. The stop itself is as before.

--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -96,7 +96,7 @@
 	for _, m := range u.members {
 		m.markOrdered()
 		m.answeredAt = now
-		m.percentSince = now
+		m.restartStallTimer()
 		m.percent = -1
 		m.pace = unknownPace
 		if u.spec().Fills {
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -34,7 +34,9 @@
 	Worker      endpoint.Name
 	Incarnation roster.Incarnation
 	// Sent is the time at which the request for the report was sent.
-	Sent  time.Time
+	Sent time.Time
+	// Clock is the reading of the worker's own clock at the time of the report. It starts anew with each incarnation.
+	Clock time.Duration
 	Runs  []RunningTask
 	Ended []EndedRun
 }
@@ -72,6 +74,7 @@
 		p.dropRuns(w, now)
 	}
 	w.Incarnation = o.Incarnation
+	w.clock = o.Clock
 	for i := range o.Ended {
 		p.observeEnd(w, &o.Ended[i], now)
 	}
@@ -126,9 +129,7 @@
 		m.unit.checkpoint = newerCheckpoint(m.unit.checkpoint, run.Checkpoint)
 	}
 	m.reading = run.Reading
-	if run.Percent != m.percent {
-		m.percent, m.percentSince = run.Percent, now
-	}
+	m.observePercent(run.Percent, now)
 	if !m.unit.job.started {
 		m.unit.job.started = true
 	}
@@ -191,7 +192,7 @@
 		m.answeredAt = now
 		if m.state == unconfirmed {
 			m.state = active
-			m.percentSince = now
+			m.restartStallTimer()
 		}
 		if !m.unit.job.started {
 			m.unit.job.started = true
--- a/core/planner/pacing.go
+++ b/core/planner/pacing.go
@@ -111,7 +111,7 @@
 	if m.pace == percent {
 		return
 	}
-	m.percentSince = p.now
+	m.restartStallTimer()
 	m.pace = percent
 	p.actions = append(p.actions, Pace{
 		Worker: m.worker.Name, Task: m.unit.task(m.index), Run: m.unit.run, Percent: percent,
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// stallTimeout is the time after which a running task without progress counts as stalled.
-	stallTimeout = 2500 * time.Millisecond
 	// leftoverTimeout is the time for which the other members of a gang may continue to run after the gang has
 	// finished. After that, they are stopped.
 	leftoverTimeout = time.Second
@@ -229,17 +227,6 @@
 	}
 }
 
-// stalled reports whether a running task is unfinished and has made no progress for stallTimeout. A task counts as
-// running once its worker has reported it.
-func (m *member) stalled(now time.Time) bool {
-	reported := m.state == active && m.unit.phase == running && m.percent >= 0 && m.percent < fullPercent
-	if m.pace != fullPercent {
-		// The task was ordered to run slowly or to pause.
-		return false
-	}
-	return reported && now.Sub(m.percentSince) >= stallTimeout
-}
-
 // stopLeftovers stops runs whose gang has finished on another worker.
 func (p *Planner) stopLeftovers(now time.Time) {
 	for _, w := range p.workersByName {
@@ -304,24 +291,3 @@
 		}
 	}
 }
-
-// stopStalled stops units whose tasks make no progress and counts the stall as a failure on the task's worker. The
-// worker of a stalled task outside a gang is suspended at once.
-func (p *Planner) stopStalled(now time.Time) {
-	for _, w := range p.workersByName {
-		if !w.responsive {
-			continue
-		}
-		for _, m := range w.membersWith(func(m *member) bool { return m.stalled(now) }) {
-			if !m.stalled(now) {
-				// Stopping another stalled member of the same unit has stopped this one as well.
-				continue
-			}
-			w.health.failed(m.unit.job.ID, now)
-			if !m.unit.spec().Gang || w.health.suspended(now) {
-				w.health.suspend(now)
-			}
-			p.stopUnit(m.unit, Stalled)
-		}
-	}
-}
--- a/core/planner/property_test.go
+++ b/core/planner/property_test.go
@@ -80,7 +80,8 @@
 func (w *simulatedSite) renew(worker *roster.Worker, ends []EndedRun) {
 	w.leases[worker.Name] = w.now.Add(testSettings().LeaseLimit)
 	w.planner.LeaseRenewed(worker.Name, w.now)
-	o := Observation{Worker: worker.Name, Incarnation: worker.Incarnation, Sent: w.now, Ended: ends}
+	o := Observation{Worker: worker.Name, Incarnation: worker.Incarnation, Sent: w.now, Ended: ends,
+		Clock: w.now.Sub(time.Unix(0, 0))}
 	for id, start := range w.running[worker.Name] {
 		o.Runs = append(o.Runs, RunningTask{Task: id, Run: start.Run, Percent: int(w.now.Sub(time.Unix(1000, 0)) / time.Millisecond % 100)})
 	}
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -76,7 +76,7 @@
 	for _, m := range u.members {
 		m.percent = -1
 		m.pace = fullPercent
-		m.percentSince = now
+		m.restartStallTimer()
 		m.markOrdered()
 		p.LeaseRenewed(m.worker.Name, now)
 		start := Start{
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -240,6 +240,10 @@
 		step.AbsenceLimit = p.number(value)
 	case "label":
 		step.Label = value
+	case "estimate":
+		estimate, err := time.ParseDuration(value)
+		qt.Assert(p.t, err, qt.IsNil)
+		step.Estimate = estimate
 	case "data":
 		step.DataRack = value
 	default:
@@ -301,7 +305,8 @@
 
 // observe reports the running tasks of a worker and the given ended runs.
 func (p *scriptRunner) observe(name endpoint.Name, ends []EndedRun) {
-	o := Observation{Worker: name, Incarnation: p.workers[string(name)].Incarnation, Sent: p.now, Ended: ends}
+	o := Observation{Worker: name, Incarnation: p.workers[string(name)].Incarnation, Sent: p.now, Ended: ends,
+		Clock: p.now.Sub(time.Unix(0, 0))}
 	for id, start := range p.running[name] {
 		o.Runs = append(o.Runs, RunningTask{Task: id, Run: start.Run, Percent: p.percent[id], Reading: p.reading[id]})
 	}
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -146,11 +146,12 @@
 	// answeredAt is the time at which the worker answered the last order about this run, or at which the run was
 	// restored. A report that was requested later shows whether the run exists.
 	answeredAt time.Time
-	// percent is the task's progress in the worker's last report, or -1 before the first report. percentSince is the
-	// time from which a stall is measured: the time of the run's start, of the last change of percent or of the last
-	// pace order.
+	// percent is the task's progress in the worker's last report, or -1 before the first report. percentClock is the
+	// worker's clock at the first report of this progress since the last pace order, or noClock before that report.
+	// percentAt is the time at which that report arrived.
 	percent      int
-	percentSince time.Time
+	percentClock time.Duration
+	percentAt    time.Time
 	// reading is the value of RunningTask.Reading in the worker's last report.
 	reading float64
 	// pace is the speed that was last ordered for the task, in percent of full speed, or unknownPace.
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -13,6 +13,8 @@
 	roster.Worker
 	// registered is set while the worker is in the list of registered workers.
 	registered bool
+	// clock is the reading of the worker's clock in its last report.
+	clock time.Duration
 	// responsive is set while the worker answers heartbeats.
 	responsive bool
 	// leaseEnd is the time by which every run on the worker has ended, unless the worker's lease is renewed before
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -302,7 +302,8 @@
 func (l *link) report(reply runner.HoldReply, sent time.Time) {
 	l.term.post(holdAnswered{
 		observation: planner.Observation{
-			Worker: l.info.Name, Incarnation: reply.Incarnation, Sent: sent, Runs: reply.Runs, Ended: reply.Ended,
+			Worker: l.info.Name, Incarnation: reply.Incarnation, Sent: sent, Clock: time.Duration(reply.Clock),
+			Runs: reply.Runs, Ended: reply.Ended,
 		},
 		lastEnd: reply.Last,
 	})
