Planner: leave what ends in time on leaving workers; stop at once what would be lost there

Cause: a worker that drains announces how long it stays at least, but we did not read it. Runs without checkpoints stayed until the worker left, also those that could not end: a gang lost its work when one member's worker went, seconds later than it could have started elsewhere.

Change: the registration's remaining time decides, by the task's reported progress or the caller's estimate. A run that ends in time is left alone; one with checkpoints is stopped when it would not, and at the latest a stop's duration before the worker leaves; one without is stopped if it would outlast the worker by 1.5 s more. Without an announced time all is as before.

--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"auburnstack/core/endpoint"
-	"auburnstack/core/roster"
 )
 
 const (
@@ -58,6 +57,7 @@
 func (p *Planner) sweep(now time.Time) {
 	p.expireLeases(now)
 	p.unblockDue(now)
+	p.stopOnDraining(now)
 	p.stopStalled(now)
 	p.stopLeftovers(now)
 	p.paceFillers(now)
@@ -272,22 +272,3 @@
 	p.markDirty(u.job)
 	u.recordVersion = u.job.version
 }
-
-// stopOnDraining stops the runs on draining workers, but only runs that can continue on other workers.
-func (p *Planner) stopOnDraining() {
-	for _, w := range p.workersByName {
-		if w.registered && w.State == roster.Draining {
-			p.stopMovable(w, WorkerLeaves)
-		}
-	}
-}
-
-// stopMovable stops the units on a worker that can continue on other workers: units with checkpoints and long-running
-// units.
-func (p *Planner) stopMovable(w *worker, reason StopReason) {
-	for _, m := range w.sortedMembers() {
-		if m.unit.phase == running && (m.unit.spec().Checkpoints || m.unit.spec().LongRunning) {
-			p.stopUnit(m.unit, reason)
-		}
-	}
-}
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -119,6 +119,9 @@
 		p.addWorker(words[1], words[2], words[3])
 	case "drain":
 		p.workers[words[1]].State = roster.Draining
+		if len(words) > 2 {
+			p.workers[words[1]].Remaining = p.duration(words[2])
+		}
 		p.setWorkers()
 	case "reborn":
 		p.workers[words[1]].Incarnation++
@@ -165,6 +168,12 @@
 	}
 }
 
+func (p *scriptRunner) duration(word string) time.Duration {
+	d, err := time.ParseDuration(word)
+	qt.Assert(p.t, err, qt.IsNil)
+	return d
+}
+
 func (p *scriptRunner) number(word string) int {
 	n, err := strconv.Atoi(word)
 	qt.Assert(p.t, err, qt.IsNil)
@@ -241,9 +250,7 @@
 	case "label":
 		step.Label = value
 	case "estimate":
-		estimate, err := time.ParseDuration(value)
-		qt.Assert(p.t, err, qt.IsNil)
-		step.Estimate = estimate
+		step.Estimate = p.duration(value)
 	case "data":
 		step.DataRack = value
 	default:
@@ -253,8 +260,7 @@
 
 // sleep advances the time in steps of 100 ms. No heartbeat renews a lease meanwhile.
 func (p *scriptRunner) sleep(word string) {
-	d, err := time.ParseDuration(word)
-	qt.Assert(p.t, err, qt.IsNil)
+	d := p.duration(word)
 	const step = 100 * time.Millisecond
 	for ; d > 0; d -= step {
 		p.now = p.now.Add(min(step, d))
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -20,6 +20,8 @@
 	// leaseEnd is the time by which every run on the worker has ended, unless the worker's lease is renewed before
 	// leaseEnd.
 	leaseEnd time.Time
+	// leavesAt is the time until which a draining worker has announced to stay at least; zero for other workers.
+	leavesAt time.Time
 	// reserved is the capacity set aside for placed units that have not been ordered to start.
 	reserved resources.Amounts
 	// used is the capacity taken by runs that were ordered and have not ended.
@@ -60,7 +62,7 @@
 	p.dropUnregistered()
 	p.sortWorkers()
 	p.recordSizes(now)
-	p.stopOnDraining()
+	p.stopOnDraining(now)
 	p.needsPlacement = true
 }
 
@@ -76,6 +78,7 @@
 		// The registration is older than the worker's last report.
 		info.Incarnation = w.Incarnation
 	}
+	w.setRemaining(&info, now)
 	w.Worker = info
 	w.registered = true
 }
--- a/core/roster/worker.go
+++ b/core/roster/worker.go
@@ -4,6 +4,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"auburnstack/core/domain"
 	"auburnstack/core/endpoint"
@@ -31,8 +32,10 @@
 	Address       netip.AddrPort
 	FailureDomain domain.Name
 	State         State
-	Incarnation   Incarnation
-	Capacity      resources.Amounts
+	// Remaining is the least time for which a draining worker will stay, counted from its registration.
+	Remaining   time.Duration
+	Incarnation Incarnation
+	Capacity    resources.Amounts
 	// Labels holds the worker's kind, followed by its rack.
 	Labels []string
 	// Rack is the label that names the rack; empty if the worker registered none.
