Intake: a rejection after a lost answer leaves the outcome open

When the store's answer to a submission is lost, the VM tries again and also relays the submission. It passed on whatever another VM answered but a refusal: a VM that already has a newer configuration, without the caller's key or the queue, answers 401 or 404, so the caller was told that its job was rejected while the stored job ran. The same between two relays: the first VM may have stored the job without an answer, and the second rejects it.

Change: once an attempt may have taken effect, only the confirmation of the job counts as an answer; otherwise the VM goes on trying and ends with an unknown outcome (504), after which callers ask again with the same ID.

--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -243,6 +243,8 @@
 		a, answered, certain := i.relayRound(relayCtx, c)
 		if answered {
 			i.recordRelayed(a)
+		}
+		if answered && !(c.Method == "POST" && leavesOpen(a, uncertain || !certain)) {
 			return a, true
 		}
 		uncertain = uncertain || !certain
@@ -274,7 +276,7 @@
 			continue
 		}
 		if a.Kind != answer.Refused {
-			return a, true, true
+			return a, true, certain
 		}
 	}
 	return answer.Answer{}, false, certain
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -120,13 +120,19 @@
 		if ctx.Err() != nil {
 			return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
 		}
-		if a, answered := i.relayOnce(ctx, c); answered && a.Kind != answer.Unknown {
+		if a, answered := i.relayOnce(ctx, c); answered && !leavesOpen(a, uncertain) {
 			return a
 		}
 		wait.For(ctx, storePause)
 	}
 }
 
+// leavesOpen reports whether another VM's answer leaves the outcome of a transaction open. A rejection does if an earlier
+// attempt may have taken effect: the other VM may judge by a newer configuration, or may not see the effect yet.
+func leavesOpen(a answer.Answer, uncertain bool) bool {
+	return a.Kind == answer.Unknown || uncertain && a.Kind != answer.Done
+}
+
 func (i *Intake) tryCommit(ctx context.Context, t store.Transaction) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
