--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -236,21 +236,6 @@
 	return d.finalOutcome(ctx, last)
 }
 
-// combineOutcomes returns the parameter after, unless the parameter before says that the request may have run.
-func combineOutcomes(before, after request.Outcome) request.Outcome {
-	if _, mayHaveRun := before.(request.Unknown); mayHaveRun {
-		return before
-	}
-	return after
-}
-
-func (d *Dispatcher) finalOutcome(ctx context.Context, last request.Outcome) request.Outcome {
-	if _, notRun := last.(request.NotRun); notRun && ctx.Err() != nil {
-		return request.NotRun{Reason: contextReason(ctx)}
-	}
-	return last
-}
-
 // waitForSlot waits for the given pause before the next attempt and doubles the pause. It returns false if the
 // dispatcher has no endpoint or if the context ends first.
 func (d *Dispatcher) waitForSlot(ctx context.Context, pause *time.Duration) bool {
@@ -284,24 +269,6 @@
 	return outcomeOf(reply, err)
 }
 
-// outcomeOf returns the outcome for the caller that corresponds to an endpoint's reply or error.
-func outcomeOf(reply endpoint.RunReply, err error) request.Outcome {
-	switch {
-	case err == nil:
-		return request.Answered{Body: reply.Body}
-	case errors.Is(err, endpoint.ErrRefused):
-		return request.NotRun{Reason: request.EndpointsBusy}
-	case errors.Is(err, endpoint.ErrNotSent):
-		return request.NotRun{Reason: request.NoEndpoint}
-	case errors.Is(err, endpoint.ErrFailed):
-		return request.Unknown{Reason: request.EndpointFailed}
-	case errors.Is(err, endpoint.ErrCorrupted):
-		return request.Unknown{Reason: request.Corrupted}
-	default:
-		return request.Unknown{Reason: request.ConnectionLost}
-	}
-}
-
 func (d *Dispatcher) recordResult(target core.Endpoint, reply endpoint.RunReply, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -346,10 +313,3 @@
 func (d *Dispatcher) newAttempt() string {
 	return fmt.Sprintf("%s-%x-%d", d.self, d.incarnation, d.attempts.Add(1))
 }
-
-func contextReason(ctx context.Context) request.Reason {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return request.Canceled
-	}
-	return request.DeadlinePassed
-}
