--- a/core/roster/worker.go
+++ b/core/roster/worker.go
@@ -35,7 +35,9 @@
 	// Remaining is the least time for which a draining worker will stay, counted from its registration.
 	Remaining   time.Duration
 	Incarnation Incarnation
-	Capacity    resources.Amounts
+	// Version is the version of the worker's software.
+	Version  string
+	Capacity resources.Amounts
 	// Labels holds the worker's kind, followed by its rack.
 	Labels []string
 	// Rack is the label that names the rack; empty if the worker registered none.
