Workers: know at once that a worker has left, instead of waiting for its last lease

Since runs that should end in time are left on leaving workers, more of them are there when an estimate was wrong; runs without checkpoints were always exposed. Ruled out: a refused or silent connection as proof (a cut worker runs on); the removal of the registration alone (a silent worker's is removed, too).

Change: registrations carry the worker's clock at their last write. A worker that drains, has stayed as long as it announced and wrote its registration less than two intervals before that was removed (by its own clock, as the link knows it) has removed it itself: it has left and its runs have ended. A silent worker's registration is removed after three intervals.

TestDeparted: left, silent while it drained, before the announced time, not draining.

--- /dev/null
+++ b/core/planner/depart_test.go
@@ -0,0 +1,57 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/graph"
+	"auburnstack/core/resources"
+	"auburnstack/core/roster"
+)
+
+// TestDeparted removes the registration of a worker with a running task. Only if the worker has announced to leave by now
+// and has written until shortly before the removal has it left, and the task starts elsewhere at once. In all other cases
+// the worker may be silent, and its task may run until the lease expires.
+func TestDeparted(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		state           roster.State
+		after, silence  time.Duration
+		left, restarted bool
+	}{
+		{"left", roster.Draining, 4 * time.Second, 1700 * time.Millisecond, true, true},
+		{"silent while it drained", roster.Draining, 4 * time.Second, 4500 * time.Millisecond, false, false},
+		{"before the announced time", roster.Draining, 2 * time.Second, time.Second, false, false},
+		{"not draining", roster.Ready, 4 * time.Second, time.Second, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := New(testSettings(), testPolicy())
+			capacity := resources.Amounts{CPU: 8000, Memory: 8000, Accelerators: 8}
+			leaving := roster.Worker{Name: "a", Service: "assay", Incarnation: 1, Rack: "r", Capacity: capacity}
+			p.SetWorkers([]roster.Worker{leaving}, now)
+			p.SetResponsive("a", true)
+			p.Submit(&graph.Job{ID: "j", Queue: "batch", Accepted: now, Steps: []graph.Step{{
+				Tasks: 1, Estimate: 4 * time.Second, Needs: resources.Amounts{Accelerators: 1},
+			}}}, now)
+			p.StartAnswered(onlyStart(t, p, now), Accepted, now)
+			other := roster.Worker{Name: "b", Service: "assay", Incarnation: 1, Rack: "r", Capacity: capacity}
+			leaving.State, leaving.Remaining = test.state, 3500*time.Millisecond
+			p.SetWorkers([]roster.Worker{leaving, other}, now)
+			p.SetResponsive("b", true)
+			now = now.Add(test.after)
+			p.SetWorkers([]roster.Worker{other}, now)
+			clock := time.Minute
+			qt.Check(t, p.Departed("a", clock-test.silence, clock, now), qt.Equals, test.left)
+			starts := 0
+			for _, action := range settle(p, now) {
+				if _, isStart := action.(Start); isStart {
+					starts++
+				}
+			}
+			qt.Check(t, starts == 1, qt.Equals, test.restarted)
+		})
+	}
+}
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -17,6 +17,9 @@
 type Settings struct {
 	// LeaseLimit is the longest time for which a worker runs tasks without a lease renewal.
 	LeaseLimit time.Duration
+	// RegistrationInterval is the time between two writes of a worker's registration. A worker that leaves removes its
+	// registration; that of a silent worker is removed after three intervals.
+	RegistrationInterval time.Duration
 	// StopTime is the longest time between the arrival of a stop order at a worker and the end of the task.
 	StopTime time.Duration
 	// RemoteFactor is the factor by which a task takes longer if it runs outside the rack of its data or if its gang is
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -50,7 +50,7 @@
 // testSettings returns the settings that all tests of the planner use.
 func testSettings() Settings {
 	return Settings{
-		LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, RemoteFactor: 3,
+		LeaseLimit: 10 * time.Second, RegistrationInterval: 1500 * time.Millisecond, StopTime: 400 * time.Millisecond, RemoteFactor: 3,
 		EarlyStart: 250 * time.Millisecond, RetainFinal: time.Minute,
 	}
 }
--- a/core/roster/worker.go
+++ b/core/roster/worker.go
@@ -35,6 +35,8 @@
 	// Remaining is the least time for which a draining worker will stay, counted from its registration.
 	Remaining   time.Duration
 	Incarnation Incarnation
+	// Clock is the reading of the worker's own clock when it last wrote the registration.
+	Clock time.Duration
 	// Version is the version of the worker's software.
 	Version  string
 	Capacity resources.Amounts
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -13,8 +13,9 @@
 	isEvent()
 }
 
-// workersChanged carries all valid worker registrations, as last read from the store.
-type workersChanged struct{ workers []roster.Worker }
+// workersChanged carries all valid worker registrations, as last read from the store, and the last state of those that
+// were removed since.
+type workersChanged struct{ workers, removed []roster.Worker }
 
 // jobsAccepted reports jobs and cancellations that were read from the store.
 type jobsAccepted struct {
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"auburnstack/core/endpoint"
+	"auburnstack/core/roster"
 )
 
 // handle applies an event to the state of the term.
@@ -12,6 +13,7 @@
 	switch e := e.(type) {
 	case workersChanged:
 		t.planner.SetWorkers(e.workers, now)
+		t.handleRemoved(e.removed, now)
 		t.updateLinks()
 	case jobsAccepted:
 		t.accept(e, now)
@@ -61,6 +63,20 @@
 	}
 }
 
+// handleRemoved tells the planner which registrations were removed, with the clocks of their workers.
+func (t *term) handleRemoved(removed []roster.Worker, now time.Time) {
+	for i := range removed {
+		w := &removed[i]
+		l, linked := t.links[w.Name]
+		if !linked {
+			continue
+		}
+		if clock, known := l.workerClock(now); known && t.planner.Departed(w.Name, w.Clock, clock, now) {
+			t.config.Log.Info("worker left", "worker", w.Name, "silence", (clock - w.Clock).String())
+		}
+	}
+}
+
 // handleUnansweredHold tells the planner that a worker does not reply. It also probes the other workers of the same
 // failure domain, as they may be unreachable too, at most once per probeInterval.
 func (t *term) handleUnansweredHold(name endpoint.Name, now time.Time) {
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -260,6 +260,13 @@
 	l.clock, l.clockReadAt = clock, now
 }
 
+// workerClock returns the reading of the worker's clock now, and false while it is unknown.
+func (l *link) workerClock(now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.clock) + now.Sub(l.clockReadAt), l.clock != 0
+}
+
 // setRegisteredIncarnation records the incarnation in the worker's registration. If this incarnation is newer than the
 // one that the link has recorded, the numbering of ended runs restarts, and the worker's clock is unknown until its
 // next reply.
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -125,8 +125,8 @@
 	t.config.Log.Info("leadership taken over", "jobs", len(t.revisions), "took", time.Since(start).String(),
 		"fence", t.role.Fence)
 	t.orders = newOrders(ctx, t)
-	workers := rosterwatch.New(t.config.Store, t.config.Roster, t.config.Log, func(list []roster.Worker) {
-		t.post(workersChanged{workers: list})
+	workers := rosterwatch.New(t.config.Store, t.config.Roster, t.config.Log, func(list, removed []roster.Worker) {
+		t.post(workersChanged{workers: list, removed: removed})
 	})
 	defer workers.Close()
 	inbox := t.followInbox(revision)
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -37,7 +37,7 @@
 type Watcher struct {
 	codec    Codec
 	log      hclog.Logger
-	onChange func(workers []roster.Worker)
+	onChange func(workers, removed []roster.Worker)
 
 	items map[string]store.Item
 	// missing holds the registrations that an outage of the store may have removed, until their grace period ends. The
@@ -56,8 +56,8 @@
 }
 
 // New starts to watch the registrations. onChange is called with all valid registrations after each read of the store,
-// whether or not anything has changed.
-func New(s store.Store, codec Codec, log hclog.Logger, onChange func(workers []roster.Worker)) *Watcher {
+// whether or not anything has changed, and with the last valid state of those that were seen to be removed.
+func New(s store.Store, codec Codec, log hclog.Logger, onChange func(workers, removed []roster.Worker)) *Watcher {
 	w := &Watcher{
 		codec: codec, log: log, onChange: onChange, items: map[string]store.Item{},
 		missing: map[string]missingRegistration{}, loggedInvalid: map[string]store.Revision{},
@@ -76,20 +76,24 @@
 func (w *Watcher) Replaced(items []store.Item, _ store.Revision) {
 	now := time.Now()
 	w.replace(items, now)
-	w.publish(now)
+	w.publish(now, nil)
 }
 
 // Changed implements mirror.Listener. It applies the events to the registrations and passes all valid ones to onChange.
 func (w *Watcher) Changed(events []store.Event, _ store.Revision) {
+	var removed []roster.Worker
 	for _, event := range events {
 		delete(w.missing, event.Key)
 		if event.Deleted {
+			if last, known := w.items[event.Key]; known {
+				removed = w.decode(removed, last)
+			}
 			delete(w.items, event.Key)
 		} else {
 			w.items[event.Key] = event.Item
 		}
 	}
-	w.publish(time.Now())
+	w.publish(time.Now(), removed)
 }
 
 // replace replaces all registrations with the given items. Registrations that are not among the items are added to
@@ -108,8 +112,9 @@
 	}
 }
 
-// publish passes all valid registrations to onChange, those in their grace period included, sorted by name.
-func (w *Watcher) publish(now time.Time) {
+// publish passes all valid registrations to onChange, those in their grace period included, sorted by name, and the removed
+// ones.
+func (w *Watcher) publish(now time.Time, removed []roster.Worker) {
 	workers := make([]roster.Worker, 0, len(w.items))
 	for _, item := range w.items {
 		workers = w.decode(workers, item)
@@ -122,7 +127,7 @@
 		workers = w.decode(workers, registration.item)
 	}
 	sort.Slice(workers, func(i, j int) bool { return workers[i].Name < workers[j].Name })
-	w.onChange(workers)
+	w.onChange(workers, removed)
 }
 
 // decode appends the worker of a registration, unless the registration is invalid.
