Coordinator: no start by old registrations; unsent starts end when their worker no longer accepts work

The leader's processor was used up (73%) and it acted on registrations that it had read seconds before. The same can happen at any size to a leader that was paused, and to a start that waits, unsent, for an unresponsive worker while that worker announces that it leaves.

A start that was never sent is given up once its worker leaves, is out of service or does not answer: the run does not exist, and the task is placed again at once.

--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -155,6 +155,12 @@
 	}
 }
 
+// Accepts reports whether new tasks may start on a worker.
+func (p *Planner) Accepts(name endpoint.Name) bool {
+	w, known := p.workers[name]
+	return known && p.accepts(w, p.now)
+}
+
 // accepts reports whether new tasks may start on a worker.
 func (p *Planner) accepts(w *worker, now time.Time) bool {
 	return w.registered && w.responsive && w.unwantedRuns == 0 && w.State == roster.Ready && !w.retired &&
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
@@ -14,8 +16,11 @@
 }
 
 // workersChanged carries all valid worker registrations, as last read from the store, and the last state of those that
-// were removed since.
-type workersChanged struct{ workers, removed []roster.Worker }
+// were removed since. They were read at the time readAt.
+type workersChanged struct {
+	workers, removed []roster.Worker
+	readAt           time.Time
+}
 
 // jobsAccepted reports jobs and cancellations that were read from the store.
 type jobsAccepted struct {
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -12,6 +12,7 @@
 	now := time.Now()
 	switch e := e.(type) {
 	case workersChanged:
+		t.rosterReadAt = e.readAt
 		t.planner.SetWorkers(e.workers, now)
 		t.handleRemoved(e.removed, now)
 		t.updateLinks()
--- a/io/coordinator/link_test.go
+++ b/io/coordinator/link_test.go
@@ -14,6 +14,7 @@
 
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
+	"auburnstack/core/policy"
 	"auburnstack/core/roster"
 	"auburnstack/io/election"
 	"auburnstack/io/runner"
@@ -136,6 +137,10 @@
 		term.links["w"] = l
 		term.orders = newOrders(term.role.Context(), term)
 		time.Sleep(100 * time.Millisecond)
+		term.planner = planner.New(planner.Settings{LeaseLimit: 10 * time.Second}, &policy.Policy{})
+		term.rosterReadAt = time.Now()
+		term.planner.SetWorkers([]roster.Worker{{Name: "w", Incarnation: 2}}, time.Now())
+		term.planner.SetResponsive("w", true)
 		l.setRegisteredIncarnation(2)
 		term.orders.issue(planner.Start{Worker: "w", Task: graph.TaskID{Job: "a"}, Run: 1})
 		synctest.Wait()
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -17,6 +17,9 @@
 	orderTimeout = 600 * time.Millisecond
 	// orderRetryPause is the time between two attempts to send an order.
 	orderRetryPause = 200 * time.Millisecond
+	// maxRosterAge is the age of the workers' registrations from which on no start is sent: a worker may have announced
+	// since then that it leaves. It is shorter than the time for which such a worker still accepts work.
+	maxRosterAge = 1800 * time.Millisecond
 )
 
 // orderKey identifies an order. For each run, a worker has at most one pending order of each kind.
@@ -41,6 +44,8 @@
 type order struct {
 	action   planner.Action
 	inFlight bool
+	// sent is set once an attempt to send the order has begun.
+	sent bool
 	// unanswered is set once an attempt to send the order has ended with an unknown outcome. The worker may have
 	// carried out the order already or may still do so.
 	unanswered bool
@@ -119,12 +124,18 @@
 }
 
 func (o *orders) send(key orderKey, entry *order) {
+	if a, isStart := entry.action.(planner.Start); isStart && !entry.sent && !o.term.planner.Accepts(a.Worker) {
+		// The worker leaves or has been taken out of service since the placement. The run does not exist.
+		delete(o.pending, key)
+		o.term.planner.StartAnswered(a, planner.Rejected, time.Now())
+		return
+	}
 	l, linked := o.term.links[key.worker]
-	if !linked || !o.term.role.Valid() || key.kind == startOrder && !l.mayRenewLease() {
+	if !linked || !o.term.role.Valid() || key.kind == startOrder && !o.term.mayStart(l) {
 		entry.nextTry = time.Now().Add(orderRetryPause)
 		return
 	}
-	entry.inFlight = true
+	entry.inFlight, entry.sent = true, true
 	action, repeated := entry.action, entry.unanswered
 	o.term.spawn(func() {
 		switch a := action.(type) {
@@ -138,6 +149,11 @@
 	})
 }
 
+// mayStart reports whether a start may be sent to a worker.
+func (t *term) mayStart(l *link) bool {
+	return l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge
+}
+
 func (o *orders) start(l *link, a planner.Start, repeated bool) {
 	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
--- a/io/coordinator/orders_test.go
+++ b/io/coordinator/orders_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"auburnstack/core/graph"
 	"auburnstack/core/planner"
+	"auburnstack/core/policy"
+	"auburnstack/core/roster"
 	"auburnstack/io/runner"
 )
 
@@ -31,3 +36,54 @@
 		qt.Check(t, startOutcome(err, true), qt.Equals, test.repeated, qt.Commentf("repeated: %v", test.err))
 	}
 }
+
+// TestNoStartOnOldRegistrations checks that a start waits while the workers' registrations are old, because its worker may
+// have announced that it leaves, and that it is given up without being sent once the worker has announced it.
+func TestNoStartOnOldRegistrations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &scriptedWorker{answers: []func() (runner.HoldReply, error){reply(1, 0)}}
+		term := newTestTerm(w)
+		term.planner = planner.New(planner.Settings{LeaseLimit: 10 * time.Second}, &policy.Policy{})
+		go func() {
+			for range term.events {
+			}
+		}()
+		info := roster.Worker{Name: "w"}
+		register := func() {
+			term.rosterReadAt = time.Now()
+			term.planner.SetWorkers([]roster.Worker{info}, time.Now())
+			term.planner.SetResponsive("w", true)
+		}
+		l := newLink(term, info)
+		term.links["w"] = l
+		term.orders = newOrders(term.role.Context(), term)
+		time.Sleep(100 * time.Millisecond)
+		register()
+		time.Sleep(maxRosterAge)
+		term.orders.issue(planner.Start{Worker: "w", Task: graph.TaskID{Job: "a"}, Run: 1})
+		term.orders.issue(planner.Start{Worker: "w", Task: graph.TaskID{Job: "b"}, Run: 1})
+		synctest.Wait()
+		qt.Check(t, w.startCount(), qt.Equals, 0)
+		qt.Check(t, term.orders.pending, qt.HasLen, 2)
+
+		info.State = roster.Draining
+		register()
+		for key, entry := range term.orders.pending {
+			term.orders.send(key, entry)
+		}
+		synctest.Wait()
+		qt.Check(t, w.startCount(), qt.Equals, 0)
+		qt.Check(t, term.orders.pending, qt.HasLen, 0)
+
+		info.State = roster.Ready
+		register()
+		l.setUnresponsive(false)
+		term.orders.issue(planner.Start{Worker: "w", Task: graph.TaskID{Job: "c"}, Run: 1})
+		synctest.Wait()
+		qt.Check(t, w.startCount(), qt.Equals, 1)
+		term.role.Resign()
+		l.Close()
+		term.work.Wait()
+		close(term.events)
+	})
+}
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -56,6 +56,8 @@
 	// revisions holds the store revision of each job's progress record; 0 if the job has no such record.
 	revisions     map[graph.ID]store.Revision
 	flushInFlight bool
+	// rosterReadAt is the time at which the registrations that the planner knows were read.
+	rosterReadAt time.Time
 	// observations is the number of hold replies that were passed to the planner. flushedObservations is the number of
 	// these replies, counted from the first, whose resulting changes are all stored or part of the transaction in
 	// flight.
@@ -126,7 +128,7 @@
 		"fence", t.role.Fence)
 	t.orders = newOrders(ctx, t)
 	workers := rosterwatch.New(t.config.Store, t.config.Roster, t.config.Log, func(list, removed []roster.Worker) {
-		t.post(workersChanged{workers: list, removed: removed})
+		t.post(workersChanged{workers: list, removed: removed, readAt: time.Now()})
 	})
 	defer workers.Close()
 	inbox := t.followInbox(revision)
