--- a/bench/graphs/execution.go
+++ b/bench/graphs/execution.go
@@ -201,7 +201,9 @@
 // report renews the worker's lease and tells the planner which runs are on the worker and which have ended since the
 // last report.
 func (m *simulation) report(w *worker) {
-	o := planner.Observation{Worker: w.Name, Incarnation: w.Incarnation, Sent: m.now, Clock: time.Duration(m.now.UnixNano()), Ended: w.endedRuns}
+	o := planner.Observation{
+		Worker: w.Name, Incarnation: w.Incarnation, Sent: m.now, Clock: time.Duration(m.now.UnixNano()), Ended: w.endedRuns,
+	}
 	for _, r := range w.runs {
 		percent := 0
 		if !w.stalled {
--- a/core/planner/depart.go
+++ b/core/planner/depart.go
@@ -17,8 +17,8 @@
 
 // Departed is called when the registration of a worker has been removed. The parameter written is the worker's clock at
 // the last write of the registration, and clock is the worker's clock now. A draining worker that has written until
-// shortly before the removal has left, and all its runs have ended; Departed then returns true. Otherwise the worker may
-// only be silent, and its runs may go on until its lease expires.
+// shortly before the removal has left, and all its runs have ended; Departed then returns true. Otherwise the worker
+// may only be silent, and its runs may go on until its lease expires.
 func (p *Planner) Departed(name endpoint.Name, written, clock time.Duration, now time.Time) bool {
 	w, known := p.workers[name]
 	if !known || w.registered || w.State != roster.Draining || now.Before(w.leavesAt.Add(-leaveTolerance)) {
--- a/core/planner/drain.go
+++ b/core/planner/drain.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// expectedRemainder returns the time that a running unit still needs: by the progress that its tasks have reported, or by
-// the caller's estimate before that.
+// expectedRemainder returns the time that a running unit still needs: by the progress that its tasks have reported, or
+// by the caller's estimate before that.
 func (p *Planner) expectedRemainder(u *unit, now time.Time) time.Duration {
 	total := p.estimator.expect(u.job.Queue, u.spec().Estimate)
 	remainder := total - now.Sub(u.startedAt)
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -39,16 +39,16 @@
 	return p.TakeActions()
 }
 
-// TakeActions returns the actions that follow from the events since the last call of Plan or TakeActions alone. It places
-// no waiting units and looks at no conditions that depend on time, so it costs little.
+// TakeActions returns the actions that follow from the events since the last call of Plan or TakeActions alone. It
+// places no waiting units and looks at no conditions that depend on time, so it costs little.
 func (p *Planner) TakeActions() []Action {
 	actions := p.actions
 	p.actions = nil
 	return actions
 }
 
-// SweepDue reports whether the next call of Plan checks all workers for expired leases and for conditions that depend on
-// time. The lease renewals that were sent must be known to the planner by then.
+// SweepDue reports whether the next call of Plan checks all workers for expired leases and for conditions that depend
+// on time. The lease renewals that were sent must be known to the planner by then.
 func (p *Planner) SweepDue(now time.Time) bool {
 	return now.Sub(p.lastSweep) >= sweepInterval
 }
@@ -80,8 +80,8 @@
 	}
 }
 
-// placeWaiting places waiting units in the order of their urgency, until all have been tried or the call has examined as
-// many workers as it may. In the latter case the next call of Plan continues.
+// placeWaiting places waiting units in the order of their urgency, until all have been tried or the call has examined
+// as many workers as it may. In the latter case the next call of Plan continues.
 func (p *Planner) placeWaiting(now time.Time) {
 	r := p.continueRound(now)
 	defer func() { p.lastExamined = r.examined }()
@@ -175,11 +175,14 @@
 	}
 	outside := s
 	outside.remote = false
-	places := p.place(outside, p.outsideHeadroom(u, spare))
-	if places == nil && (s.round.now.Sub(u.waitingSince) >= headroomWait || spare.keptFree[endpoint.Rack(u.spec().DataRack)]) {
-		places = p.place(s, (*worker).free)
+	if places := p.place(outside, p.outsideHeadroom(u, spare)); places != nil {
+		return places
 	}
-	return places
+	dataKeptFree := spare.keptFree[endpoint.Rack(u.spec().DataRack)]
+	if s.round.now.Sub(u.waitingSince) >= headroomWait || dataKeptFree {
+		return p.place(s, (*worker).free)
+	}
+	return nil
 }
 
 // recordPlacements submits placements for storage once their workers have enough free capacity. It withdraws
--- a/core/planner/preempt.go
+++ b/core/planner/preempt.go
@@ -13,8 +13,9 @@
 	loss    float64
 }
 
-// findEviction returns the work to stop for an urgent unit and the unit's workers. It prefers the cheapest eviction that
-// places the unit in a single rack. If stopping all possible victims would not free enough capacity, it returns nil.
+// findEviction returns the work to stop for an urgent unit and the unit's workers. It prefers the cheapest eviction
+// that places the unit in a single rack. If stopping all possible victims would not free enough capacity, it returns
+// nil.
 func (p *Planner) findEviction(s search) *eviction {
 	if best := p.cheapestRack(s); best != nil || s.needsOneRack() {
 		return best
--- a/core/planner/release.go
+++ b/core/planner/release.go
@@ -79,7 +79,8 @@
 	return r != nil && r.mixed && now.Sub(r.seenAt) < releaseTimeout
 }
 
-// withNewestVersion returns the candidates that a release has replaced already. They stay, so that a gang loses no member.
+// withNewestVersion returns the candidates that a release has replaced already. They stay, so that a gang loses no
+// member.
 func (p *Planner) withNewestVersion(candidates []candidate) []candidate {
 	var replaced []candidate
 	for _, c := range candidates {
--- a/core/planner/round.go
+++ b/core/planner/round.go
@@ -176,8 +176,8 @@
 	return d
 }
 
-// commonDemand returns the demand of a unit without the limits that apply to this unit alone. A unit whose common demand
-// cannot be placed cannot be placed either.
+// commonDemand returns the demand of a unit without the limits that apply to this unit alone. A unit whose common
+// demand cannot be placed cannot be placed either.
 func (p *Planner) commonDemand(r *round, u *unit) demand {
 	step := u.spec()
 	d := demand{
--- a/core/planner/stall.go
+++ b/core/planner/stall.go
@@ -24,8 +24,9 @@
 	m.percentClock = noClock
 }
 
-// stalled reports whether a running task is unfinished and has made no progress for its stall timeout. Only the worker's
-// reports show this, by the worker's own clock: while a worker is silent or its reports are delayed, its tasks may work.
+// stalled reports whether a running task is unfinished and has made no progress for its stall timeout. Only the
+// worker's reports show this, by the worker's own clock: while a worker is silent or its reports are delayed, its tasks
+// may work.
 func (p *Planner) stalled(m *member) bool {
 	if m.state != active || m.unit.phase != running || m.percent < 0 || m.percent >= fullPercent {
 		return false
--- a/io/coordinator/control.go
+++ b/io/coordinator/control.go
@@ -22,8 +22,8 @@
 	maxTrafficPause = 50 * time.Millisecond
 )
 
-// pacer limits the share of time that the planner takes. On large sites each call examines thousands of workers, however
-// few events it handles; events that arrive while the planner rests are planned together.
+// pacer limits the share of time that the planner takes. On large sites each call examines thousands of workers,
+// however few events it handles; events that arrive while the planner rests are planned together.
 type pacer struct {
 	// next is the time from which the planner may be called again.
 	next time.Time
@@ -46,7 +46,8 @@
 	return true
 }
 
-// planned records a call of the planner. If there is more to plan, the timer fires when the planner may be called again.
+// planned records a call of the planner. If there is more to plan, the timer fires when the planner may be called
+// again.
 func (p *pacer) planned(began, ended time.Time, more bool) {
 	rest := min(planRest*ended.Sub(began), maxPlanRest)
 	p.next = ended.Add(rest)
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -244,7 +244,7 @@
 		if answered {
 			i.recordRelayed(a)
 		}
-		if answered && !(c.Method == "POST" && leavesOpen(a, uncertain || !certain)) {
+		if answered && (c.Method != "POST" || !leavesOpen(a, uncertain || !certain)) {
 			return a, true
 		}
 		uncertain = uncertain || !certain
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -127,8 +127,9 @@
 	}
 }
 
-// leavesOpen reports whether another VM's answer leaves the outcome of a transaction open. A rejection does if an earlier
-// attempt may have taken effect: the other VM may judge by a newer configuration, or may not see the effect yet.
+// leavesOpen reports whether another VM's answer leaves the outcome of a transaction open. A rejection does if an
+// earlier attempt may have taken effect: the other VM may judge by a newer configuration, or may not see the effect
+// yet.
 func leavesOpen(a answer.Answer, uncertain bool) bool {
 	return a.Kind == answer.Unknown || uncertain && a.Kind != answer.Done
 }
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// publish passes all valid registrations to onChange, those in their grace period included, sorted by name, and the removed
-// ones.
+// publish passes all valid registrations to onChange, those in their grace period included, sorted by name, and the
+// removed ones.
 func (w *Watcher) publish(now time.Time, removed []roster.Worker) {
 	workers := make([]roster.Worker, 0, len(w.items))
 	for _, item := range w.items {
--- a/standin/memstore/client.go
+++ b/standin/memstore/client.go
@@ -13,7 +13,8 @@
 
 // Client implements store.Store with calls to a Service, the simulated key-value service. Faults can be set for one
 // client or for the service, and each call is subject to both: Down and Refuse apply if they are set in either, the
-// delays Slow and PerItem are added, and the larger one of the two values of WatchBytes, LoseReplies and LateWrites applies.
+// delays Slow and PerItem are added, and the larger one of the two values of WatchBytes, LoseReplies and LateWrites
+// applies.
 type Client struct {
 	service *Service
 
