--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -95,14 +95,8 @@
 
 // choose returns one of the candidates for each task of a search, or nil. Unless the search is remote, choose returns
 // nil rather than spread a unit that asks for a single rack or place a unit outside the rack of its data. It gives slow
-// workers to a unit of priority 0, and workers that are about to be replaced to a fragile one, only if the others do
-// not suffice.
+// workers to a unit of priority 0 only if the others do not suffice.
 func (p *Planner) choose(s search, candidates []candidate) []*worker {
-	if p.inRelease(s.unit.job.queue.Service, s.round.now) && p.fragile(s.unit) {
-		if places := p.placeAmong(s, p.withNewestVersion(candidates)); places != nil {
-			return places
-		}
-	}
 	if s.unit.job.queue.Priority == 0 {
 		fast, _ := p.bySpeed(candidates)
 		if places := p.placeAmong(s, fast); places != nil {
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -81,8 +81,6 @@
 	// headroom determines the capacity that is kept free for urgent jobs.
 	headroom      headroom
 	ratioVariance ratioVariance
-	// releases holds the versions of the workers of each service.
-	releases map[string]*release
 	// sizes holds, for each worker size, the largest number of workers of that size that were registered at the same
 	// time. firstListed is the time at which the planner received the first list of workers.
 	sizes       map[roster.Size]int
@@ -102,7 +100,6 @@
 		dirty:            map[graph.ID]*jobState{},
 		advice:           map[graph.StepID]*advice{},
 		sizes:            map[roster.Size]int{},
-		releases:         map[string]*release{},
 		estimator:        newEstimator(),
 		examineLimit:     maxExamined,
 	}
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -123,12 +123,6 @@
 			p.workers[words[1]].Remaining = p.duration(words[2])
 		}
 		p.setWorkers()
-	case "replaced":
-		p.workers[words[1]].Incarnation += 10
-		p.workers[words[1]].Version = words[2]
-		p.running[endpoint.Name(words[1])] = map[graph.TaskID]Start{}
-		p.setWorkers()
-		p.observe(endpoint.Name(words[1]), nil)
 	case "reborn":
 		p.workers[words[1]].Incarnation++
 		p.running[endpoint.Name(words[1])] = map[graph.TaskID]Start{}
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -62,7 +62,6 @@
 	p.dropUnregistered()
 	p.sortWorkers()
 	p.recordSizes(now)
-	p.trackReleases(now)
 	p.stopOnDraining(now)
 	p.needsPlacement = true
 }
--- a/core/roster/worker.go
+++ b/core/roster/worker.go
@@ -36,9 +36,7 @@
 	Remaining   time.Duration
 	Incarnation Incarnation
 	// Clock is the reading of the worker's own clock when it last wrote the registration.
-	Clock time.Duration
-	// Version is the version of the worker's software.
-	Version  string
+	Clock    time.Duration
 	Capacity resources.Amounts
 	// Labels holds the worker's kind, followed by its rack.
 	Labels []string
