Coordinator: TestNoStartOnOldRegistrations tests the age of the registrations

The link answers now at that point.

Run with the condition removed, now: without the age, and without the check that the worker accepts work, the test fails.

--- a/io/coordinator/orders_test.go
+++ b/io/coordinator/orders_test.go
@@ -60,6 +60,8 @@
 		time.Sleep(100 * time.Millisecond)
 		register()
 		time.Sleep(maxRosterAge)
+		// The link has had an unanswered hold meanwhile, which alone would hold the start back.
+		l.setUnresponsive(false)
 		term.orders.issue(planner.Start{Worker: "w", Task: graph.TaskID{Job: "a"}, Run: 1})
 		term.orders.issue(planner.Start{Worker: "w", Task: graph.TaskID{Job: "b"}, Run: 1})
 		synctest.Wait()
