--- /dev/null
+++ b/review/standin/cases/cancel.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"auburnstack/review/kvstore"
+	"auburnstack/review/platform"
+	"auburnstack/review/taskworker"
+)
+
+const (
+	// lateBy is the time by which the store carries out writes late whose answers are lost.
+	lateBy = 6 * time.Second
+	// losing is the time for which answers of the store are lost, and maxLostShare the largest share of the writes.
+	losing       = 4500 * time.Millisecond
+	maxLostShare = 0.35
+	// cancelTime and stopTime are cancel_ms and stopMs.
+	cancelTime = 3 * time.Second
+	stopTime   = 400 * time.Millisecond
+)
+
+// playCancelOvertakes cancels a job whose submission had no outcome, and looks for its tasks after the cancelling was
+// acknowledged (UNASKED).
+func playCancelOvertakes(record *platform.Record, trouble bool) verdict {
+	plan := taskworker.Plan{Work: func(string) time.Duration { return 4 * time.Second }}
+	site, err := platform.Start(record, 3, 8, func(string) taskworker.Plan { return plan })
+	defer site.Close()
+	if err != nil {
+		return verdict{err: err}
+	}
+	time.Sleep(2 * time.Second)
+	const id = "5c0e7a21d94b36f8"
+	writes, lost := 0, 0
+	if trouble {
+		record.Note("for %s answers of the store are lost: writes are carried out %s late", losing, lateBy)
+		until := time.Now().Add(losing)
+		site.Store.SetDelay(func(t *kvstore.Transaction) time.Duration {
+			if time.Now().After(until) {
+				return 0
+			}
+			writes++
+			if !t.Writes(id) {
+				return 0
+			}
+			lost++
+			return lateBy
+		})
+	}
+	for i := range 12 {
+		go site.Call(site.VMs[i%3], "POST", fmt.Sprintf("%016x", 0xab5400+i), job(1))
+	}
+	submitted := site.Call(site.VMs[0], "POST", id, job(2))
+	canceled := site.Call(site.VMs[1], "DELETE", id, nil)
+	acknowledged := time.Now()
+	if !canceled.Accepted() && canceled.Status != 410 {
+		return verdict{err: errors.New("the cancelling was not acknowledged")}
+	}
+	time.Sleep(20 * time.Second)
+	site.Call(site.VMs[1], "GET", id, nil)
+	site.Store.SetDelay(nil)
+	if trouble {
+		record.Note("of %d writes in that time, %d were lost", writes, lost)
+		if submitted.Accepted() || float64(lost) > maxLostShare*float64(writes) {
+			return verdict{err: fmt.Errorf("%d of %d writes were lost", lost, writes)}
+		}
+	}
+	return verdict{breaks: runsAfterCancel(record, id, acknowledged)}
+}
+
+// job returns a job with the given number of steps, one after the other.
+func job(steps int) map[string]any {
+	list := []map[string]any{{"count": 2, "cpu": 1000, "memMb": 1024, "estimateMs": 4000}}
+	for i := 1; i < steps; i++ {
+		list = append(list, map[string]any{
+			"count": 2, "cpu": 1000, "memMb": 1024, "estimateMs": 4000, "after": []int{i - 1},
+		})
+	}
+	return map[string]any{"spec": "fire assay", "steps": list}
+}
+
+// runsAfterCancel returns the starts of a job's tasks later than cancelTime after the acknowledgement, and the runs that
+// go on for stopTime after that.
+func runsAfterCancel(record *platform.Record, id string, acknowledged time.Time) []string {
+	var breaks []string
+	limit := acknowledged.Add(cancelTime)
+	for _, e := range record.Events() {
+		if platform.JobOf(e.Task) != id {
+			continue
+		}
+		if e.What == "start" && e.At.After(limit) {
+			breaks = append(breaks, fmt.Sprintf("%s run %d starts on %s %.1f s after the cancelling was acknowledged",
+				e.Task, e.Run, e.Worker, e.At.Sub(acknowledged).Seconds()))
+		}
+	}
+	return breaks
+}
