--- a/review/standin/cases/main.go
+++ b/review/standin/cases/main.go
@@ -35,6 +35,7 @@
 	"cancel-overtake": playCancelOvertakes,
 	"lasting-crashes": playLastingCrashes,
 	"born-earlier":    playBornEarlier,
+	"large-progress":  playLargeProgress,
 }
 
 func main() {
--- a/review/standin/kvstore/store.go
+++ b/review/standin/kvstore/store.go
@@ -62,6 +62,9 @@
 	changed chan struct{}
 	// down is set while calls get no answer.
 	down bool
+	// onLarge is called with the key and the size of each value that is stored or refused and larger than half of the
+	// largest one. It may be nil.
+	onLarge func(key string, size int, refused bool)
 	// delay returns the time after which a transaction is carried out without an answer; 0 for one that is carried out
 	// and answered at once. It may be nil.
 	delay func(t *Transaction) time.Duration
@@ -87,6 +90,29 @@
 	s.delay = delay
 }
 
+// SetOnLarge sets the function that is called with the key and the size of each large value that is stored or refused.
+func (s *Store) SetOnLarge(onLarge func(key string, size int, refused bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onLarge = onLarge
+}
+
+// checkSizes reports whether the store accepts the sizes of all values.
+func (s *Store) checkSizes(t *Transaction) bool {
+	s.mu.Lock()
+	onLarge := s.onLarge
+	s.mu.Unlock()
+	accepted := true
+	for _, p := range t.Puts {
+		refused := len(p.Value) > maxValueBytes
+		accepted = accepted && !refused
+		if onLarge != nil && len(p.Value) > maxValueBytes/2 {
+			onLarge(p.Key, len(p.Value), refused)
+		}
+	}
+	return accepted
+}
+
 // Put writes a key as the operator or a worker does. It reports whether the store was reachable.
 func (s *Store) Put(key string, value []byte) bool {
 	s.mu.Lock()
--- a/review/standin/taskworker/http.go
+++ b/review/standin/taskworker/http.go
@@ -157,7 +157,7 @@
 	defer w.mu.Unlock()
 	active, ended := [][]any{}, [][]any{}
 	for key, r := range w.runs {
-		active = append(active, []any{key.task, key.id, "", r.percent(), 0})
+		active = append(active, []any{key.task, key.id, r.checkpoint(), r.percent(), 0})
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxEnds)] {
 		ended = append(ended, []any{e.Number, e.Task, e.Run, e.What, ""})
--- a/review/standin/taskworker/worker.go
+++ b/review/standin/taskworker/worker.go
@@ -12,8 +12,13 @@
 type Plan struct {
 	// Work returns the duration of a task; 0 for a task that lasts until it is stopped.
 	Work func(task string) time.Duration
+	// Saves is set if the tasks save their progress every saveInterval of work.
+	Saves bool
 }
 
+// saveInterval is the time of work from one checkpoint to the next.
+const saveInterval = time.Second
+
 // startup is the time after which a task that lasts is at work.
 const startup = 300 * time.Millisecond
 
@@ -52,9 +57,19 @@
 	id      int64
 	started time.Time
 	work    time.Duration
+	saves   bool
 	timer   *time.Timer
 }
 
+// checkpoint returns the newest checkpoint, or an empty text if there is none.
+func (r *run) checkpoint() string {
+	saved := time.Since(r.started) / saveInterval
+	if !r.saves || saved == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", int64(saved))
+}
+
 func (r *run) percent() int {
 	age := time.Since(r.started)
 	if r.work == 0 {
@@ -224,7 +239,8 @@
 
 // start begins a run.
 func (w *Worker) start(task string, id int64, spec string) {
-	r := &run{task: task, id: id, started: time.Now(), work: w.plan(task).Work(task)}
+	plan := w.plan(task)
+	r := &run{task: task, id: id, started: time.Now(), work: plan.Work(task), saves: plan.Saves}
 	key := runKey{task, id}
 	w.runs[key] = r
 	w.onEvent(&Event{At: r.started, Worker: w.ID, What: "start", Task: task, Run: id, Spec: spec})
