--- a/review/standin/cases/main.go
+++ b/review/standin/cases/main.go
@@ -34,8 +34,10 @@
 	"many-ends":       playManyEnds,
 	"cancel-overtake": playCancelOvertakes,
 	"lasting-crashes": playLastingCrashes,
-	"born-earlier":    playBornEarlier,
 	"large-progress":  playLargeProgress,
+	"lasting-starved": playLastingStarved,
+	"long-tasks":      playLongTasks,
+	"refused-runs":    playRefusedRuns,
 }
 
 func main() {
--- a/review/standin/platform/client.go
+++ b/review/standin/platform/client.go
@@ -25,15 +25,20 @@
 	return a.Status/100 == 2
 }
 
-// Call sends a client's call about a job to a VM, and records it with its answer.
+// Call sends a client's call about a job of the queue of priority 1 to a VM, and records it with its answer.
 func (s *Site) Call(v *VM, method, id string, message any) Answer {
+	return s.CallQueue(v, method, Prefix, id, message)
+}
+
+// CallQueue is like Call for a job of the queue with a prefix.
+func (s *Site) CallQueue(v *VM, method, prefix, id string, message any) Answer {
 	body, err := json.Marshal(message)
 	if err != nil || message == nil {
 		body = nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+v.front+Prefix+id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+v.front+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return Answer{}
 	}
