--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Plays the case cancel-overtake; see claim.txt. Build the program of the deploy file and run review/build.sh before.
+# Plays the case large-progress; see claim.txt. Build the program of the deploy file and run review/build.sh before.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x review/bin/cases ] || [ ! -x target/auburnstack ]; then
   echo "not built"
   exit 2
 fi
-exec review/bin/cases cancel-overtake review/3
+exec review/bin/cases large-progress review/3
