--- a/review/standin/cases/largeprogress.go
+++ b/review/standin/cases/largeprogress.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// largeTasks is the number of tasks in each of the two steps of the large job.
-	largeTasks = 4096
+	// largeTimes is the number of times that the large job's only step runs, all at once, and largeTasks the number of
+	// tasks of all of them.
+	largeTimes = 4
+	largeTasks = 8192
 	// zoneDown is the time for which a zone is without power.
 	zoneDown = 1500 * time.Millisecond
 	// lostAfter is the time for which a job may have nothing running though its turn has come and there is capacity.
@@ -40,17 +42,21 @@
 		record.Note("the store %s a value of %d bytes under %s", verb, size, key)
 	})
 	time.Sleep(2 * time.Second)
-	step := map[string]any{"count": largeTasks, "cpu": 250, "memMb": 256, "estimateMs": 180000, "checkpointing": true}
-	a := site.Call(site.VMs[0], "POST", large, map[string]any{"spec": "purity", "steps": []map[string]any{step, step}})
+	a := site.Call(site.VMs[0], "POST", large, map[string]any{
+		"spec": "purity", "repeatCount": largeTimes, "firstRunMs": time.Now().UnixMilli(), "intervalMs": 1,
+		"steps": []map[string]any{{
+			"count": largeTasks / largeTimes, "cpu": 250, "memMb": 256, "estimateMs": 180000, "checkpointing": true,
+		}},
+	})
 	if !a.Accepted() {
 		return verdict{err: errors.New("the large job was not accepted")}
 	}
-	for deadline := time.Now().Add(40 * time.Second); runningOf(site, large) < 2*largeTasks; time.Sleep(100 * time.Millisecond) {
+	for deadline := time.Now().Add(40 * time.Second); runningOf(site, large) < largeTasks; time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			return verdict{err: fmt.Errorf("%d of the large job's tasks run", runningOf(site, large))}
 		}
 	}
-	record.Note("all %d tasks of the large job run", 2*largeTasks)
+	record.Note("all %d tasks of the large job run", largeTasks)
 	time.Sleep(5 * time.Second)
 	if trouble {
 		loseZone(site)
@@ -65,7 +71,7 @@
 	}
 	state := site.Call(site.VMs[1], "GET", small, nil)
 	return broken("a job is shown as %s %.1f s after it was accepted; none of its tasks has started, and %d of %d tasks of "+
-		"the other job run", state.Body, time.Since(accepted).Seconds(), runningOf(site, large), 2*largeTasks)
+		"the other job run", state.Body, time.Since(accepted).Seconds(), runningOf(site, large), largeTasks)
 }
 
 // loseZone crashes the workers of the zone that has no VM of the site. They come back.
