--- a/review/standin/cases/cancel.go
+++ b/review/standin/cases/cancel.go
@@ -26,10 +26,10 @@
 func playCancelOvertakes(record *platform.Record, trouble bool) verdict {
 	plan := taskworker.Plan{Work: func(string) time.Duration { return 4 * time.Second }}
 	site, err := platform.Start(record, 3, 8, func(string) taskworker.Plan { return plan })
-	defer site.Close()
 	if err != nil {
 		return verdict{err: err}
 	}
+	defer site.Close()
 	time.Sleep(2 * time.Second)
 	const id = "5c0e7a21d94b36f8"
 	writes, lost := 0, 0
--- a/review/standin/cases/largeprogress.go
+++ b/review/standin/cases/largeprogress.go
@@ -20,8 +20,8 @@
 	lostAfter = 3 * time.Second
 )
 
-// playLargeProgress lets a zone of workers lose power while a job of many tasks runs, and looks whether another job that
-// is accepted later starts (LOST).
+// playLargeProgress lets a zone of workers lose power while a job of many tasks runs, and looks whether another job
+// that is accepted later starts (LOST).
 func playLargeProgress(record *platform.Record, trouble bool) verdict {
 	const large, small = "5c0e7a21d94b36f8", "6d1f8b32ea5c4709"
 	site, err := platform.Start(record, 3, 48, func(task string) taskworker.Plan {
@@ -30,10 +30,10 @@
 		}
 		return taskworker.Plan{Saves: true, Work: func(string) time.Duration { return 3 * time.Minute }}
 	})
-	defer site.Close()
 	if err != nil {
 		return verdict{err: err}
 	}
+	defer site.Close()
 	site.Store.SetOnLarge(func(key string, size int, refused bool) {
 		verb := "stores"
 		if refused {
@@ -51,7 +51,8 @@
 	if !a.Accepted() {
 		return verdict{err: errors.New("the large job was not accepted")}
 	}
-	for deadline := time.Now().Add(40 * time.Second); runningOf(site, large) < largeTasks; time.Sleep(100 * time.Millisecond) {
+	deadline := time.Now().Add(40 * time.Second)
+	for ; runningOf(site, large) < largeTasks; time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			return verdict{err: fmt.Errorf("%d of the large job's tasks run", runningOf(site, large))}
 		}
@@ -70,8 +71,8 @@
 		return verdict{}
 	}
 	state := site.Call(site.VMs[1], "GET", small, nil)
-	return broken("a job is shown as %s %.1f s after it was accepted; none of its tasks has started, and %d of %d tasks of "+
-		"the other job run", state.Body, time.Since(accepted).Seconds(), runningOf(site, large), largeTasks)
+	return broken("a job is shown as %s %.1f s after it was accepted; none of its tasks has started, and %d of %d tasks "+
+		"of the other job run", state.Body, time.Since(accepted).Seconds(), runningOf(site, large), largeTasks)
 }
 
 // loseZone crashes the workers of the zone that has no VM of the site. They come back.
--- a/review/standin/cases/longtasks.go
+++ b/review/standin/cases/longtasks.go
@@ -27,8 +27,8 @@
 	longWatch = 80 * time.Second
 )
 
-// playLongTasks lets the tasks of a job take longer than estimated, and looks whether the job has nothing running although
-// nothing else is on the service (LOST).
+// playLongTasks lets the tasks of a job take longer than estimated, and looks whether the job has nothing running
+// although nothing else is on the service (LOST).
 func playLongTasks(record *platform.Record, trouble bool) verdict {
 	const long = "5c0e7a21d94b36f8"
 	work := longEstimate
@@ -41,10 +41,10 @@
 		}
 		return taskworker.Plan{Work: func(string) time.Duration { return otherWork }}
 	})
-	defer site.Close()
 	if err != nil {
 		return verdict{err: err}
 	}
+	defer site.Close()
 	time.Sleep(2 * time.Second)
 	for i := range otherJobs {
 		time.Sleep(otherInterval)
@@ -77,10 +77,11 @@
 	}
 	state := site.Call(site.VMs[1], "GET", long, nil)
 	runs := startsOf(record, long)
-	record.Note("%d runs of the %d tasks were started; longest time without any: %.1f s", runs, longTasks, longest.Seconds())
+	record.Note("%d runs of the %d tasks were started; longest time without any: %.1f s", runs, longTasks,
+		longest.Seconds())
 	if longest > lostAfter {
-		return broken("the job had nothing running for %.1f s, with all %d workers idle; it is shown as %s after %d runs of its "+
-			"%d tasks, of which none has ended but by a stop", longest.Seconds(), 8*longTasks, state.Body, runs, longTasks)
+		return broken("the job had nothing running for %.1f s, with all %d workers idle; it is shown as %s after %d runs of "+
+			"its %d tasks, of which none has ended but by a stop", longest.Seconds(), 8*longTasks, state.Body, runs, longTasks)
 	}
 	return verdict{}
 }
--- a/review/standin/cases/manyends.go
+++ b/review/standin/cases/manyends.go
@@ -28,10 +28,10 @@
 		return 5500*time.Millisecond + time.Duration(sum.Sum32()%3500)*time.Millisecond
 	}}
 	site, err := platform.Start(record, 3, 8, func(string) taskworker.Plan { return plan })
-	defer site.Close()
 	if err != nil {
 		return verdict{err: err}
 	}
+	defer site.Close()
 	time.Sleep(2 * time.Second)
 	const id = "5c0e7a21d94b36f8"
 	a := site.Call(site.VMs[0], "POST", id, map[string]any{
--- a/review/standin/cases/refused.go
+++ b/review/standin/cases/refused.go
@@ -27,10 +27,10 @@
 func playRefusedRuns(record *platform.Record, trouble bool) verdict {
 	plan := taskworker.Plan{Work: func(string) time.Duration { return time.Second }}
 	site, err := platform.Start(record, 4, 12, func(string) taskworker.Plan { return plan })
-	defer site.Close()
 	if err != nil {
 		return verdict{err: err}
 	}
+	defer site.Close()
 	time.Sleep(2 * time.Second)
 	rejected := &rejections{jobs: map[string]time.Time{}}
 	for i := range losses {
@@ -86,7 +86,8 @@
 	var breaks []string
 	for _, e := range record.Events() {
 		if at, found := rejected.jobs[platform.JobOf(e.Task)]; found && e.What == "start" {
-			breaks = append(breaks, fmt.Sprintf("%s run %d starts on %s at %.3f, though the only submission of its job was rejected at %.3f",
+			breaks = append(breaks, fmt.Sprintf(
+				"%s run %d starts on %s at %.3f, though the only submission of its job was rejected at %.3f",
 				e.Task, e.Run, e.Worker, record.Offset(e.At), record.Offset(at)))
 		}
 	}
--- a/review/standin/cases/starved.go
+++ b/review/standin/cases/starved.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"auburnstack/review/platform"
@@ -23,8 +22,8 @@
 	watchTime = 25 * time.Second
 )
 
-// playLastingStarved lets one worker crash for good under a task that lasts, while work of priority 0 fills the service,
-// and looks whether the task starts again (LOST).
+// playLastingStarved lets one worker crash for good under a task that lasts, while work of priority 0 fills the
+// service, and looks whether the task starts again (LOST).
 func playLastingStarved(record *platform.Record, trouble bool) verdict {
 	const lasting = "5c0e7a21d94b36f8"
 	site, err := platform.Start(record, 3, 8, func(task string) taskworker.Plan {
@@ -33,10 +32,10 @@
 		}
 		return taskworker.Plan{Work: func(string) time.Duration { return urgentWork }}
 	})
-	defer site.Close()
 	if err != nil {
 		return verdict{err: err}
 	}
+	defer site.Close()
 	time.Sleep(2 * time.Second)
 	if !site.Call(site.VMs[0], "POST", lasting, map[string]any{
 		"spec":  "desk service",
@@ -97,8 +96,9 @@
 			return
 		case <-ticker.C:
 		}
-		site.CallQueue(site.VMs[i%len(site.VMs)], "POST", platform.UrgentPrefix, fmt.Sprintf("%016x", 0xab5400+i), map[string]any{
-			"spec":  strings.Repeat("x", 20),
+		id := fmt.Sprintf("%016x", 0xab5400+i)
+		site.CallQueue(site.VMs[i%len(site.VMs)], "POST", platform.UrgentPrefix, id, map[string]any{
+			"spec":  "spectral check",
 			"steps": []map[string]any{{"count": 1, "cpu": 4000, "memMb": 4096, "gpu": 1, "estimateMs": 4000}},
 		})
 	}
--- a/review/standin/platform/record.go
+++ b/review/standin/platform/record.go
@@ -65,8 +65,9 @@
 	for _, e := range r.events {
 		lines = append(lines, line{at: e.At, text: e.String()})
 		if !e.Acknowledged.IsZero() {
-			lines = append(lines, line{at: e.Acknowledged, text: fmt.Sprintf("%s is told that end %d (%s run %d %s) is taken note of",
-				e.Worker, e.Number, e.Task, e.Run, e.What)})
+			text := fmt.Sprintf("%s is told that end %d (%s run %d %s) is taken note of",
+				e.Worker, e.Number, e.Task, e.Run, e.What)
+			lines = append(lines, line{at: e.Acknowledged, text: text})
 		}
 	}
 	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
--- a/review/standin/platform/site.go
+++ b/review/standin/platform/site.go
@@ -19,13 +19,16 @@
 	"auburnstack/review/taskworker"
 )
 
+// Host is that of both queues. Prefix is that of the queue of priority 1, UrgentPrefix that of the queue of priority 0.
+// Key is the only API key.
 const (
-	// Host is that of both queues. Prefix is that of the queue of priority 1, UrgentPrefix that of the queue of priority
-	// 0. Key is the only API key.
 	Host         = "nony24.example"
 	Prefix       = "/lohu930/"
 	UrgentPrefix = "/pufi791/"
 	Key          = "d4a3hwrr6x73d3zji9n7"
+)
+
+const (
 	// Service is the name of the workers' service.
 	Service = "assay-svc"
 	// MaxAttempts is that of both queues.
@@ -60,40 +63,48 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Site{Store: kvstore.New(), Record: record, folder: folder, stop: stop}
+	if err := s.start(ctx, vms, workers, plan); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context, vms, workers int, plan func(task string) taskworker.Plan) error {
 	storeAddress, err := s.listen(s.Store.Handler())
 	if err != nil {
-		return s, err
+		return err
 	}
 	if err := s.configure(); err != nil {
-		return s, err
+		return err
 	}
 	for i := range workers {
 		w := taskworker.New(fmt.Sprintf("i-%08x", 0x7f3a91c2+i*7919), Service, zones[i%len(zones)],
-			fmt.Sprintf("r%d-1", i%len(zones)), plan, record.add)
+			fmt.Sprintf("r%d-1", i%len(zones)), plan, s.Record.add)
 		if w.Address, err = s.listen(w); err != nil {
-			return s, err
+			return err
 		}
 		s.Workers = append(s.Workers, w)
 		s.loops.Go(func() { s.register(ctx, w) })
 	}
 	for i := range vms {
-		v, err := newVM(i, folder)
+		v, err := newVM(i, s.folder)
 		if err != nil {
-			return s, err
+			return err
 		}
 		s.VMs = append(s.VMs, v)
 	}
 	for _, v := range s.VMs {
 		if err := v.start(storeAddress, s.VMs); err != nil {
-			return s, err
+			return err
 		}
 	}
-	return s, s.awaitReady()
+	return s.awaitReady()
 }
 
 // listen serves a handler on a free loopback port and returns its address.
 func (s *Site) listen(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenTCP("127.0.0.1")
 	if err != nil {
 		return "", err
 	}
@@ -103,6 +114,12 @@
 	return listener.Addr().String(), nil
 }
 
+// listenTCP listens on a free port of a loopback address.
+func listenTCP(ip string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(context.Background(), "tcp", ip+":0")
+}
+
 // configure writes the first configuration.
 func (s *Site) configure() error {
 	route := func(name, prefix string, priority int) map[string]any {
@@ -168,8 +185,8 @@
 	return nil
 }
 
-// Close ends all processes and servers that the site has started, and removes its folder. If REVIEW_LOGS names a folder,
-// the VMs' logs are kept there.
+// Close ends all processes and servers that the site has started, and removes its folder. If REVIEW_LOGS names a
+// folder, the VMs' logs are kept there.
 func (s *Site) Close() {
 	for _, v := range s.VMs {
 		v.close()
--- a/review/standin/platform/vm.go
+++ b/review/standin/platform/vm.go
@@ -37,7 +37,8 @@
 }
 
 func newVM(i int, folder string) (*VM, error) {
-	v := &VM{Name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1), Zone: zones[i%len(zones)], folder: folder}
+	zone := zones[i%len(zones)]
+	v := &VM{Name: fmt.Sprintf("edge-%s-%d", zone, i/len(zones)+1), Zone: zone, folder: folder}
 	var err error
 	ip := loopback(i)
 	for _, address := range []*string{&v.front, &v.readyAt, &v.peers} {
@@ -57,7 +58,7 @@
 
 // freeAddress returns a loopback address with a port that is free.
 func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
+	listener, err := listenTCP(ip)
 	if err != nil {
 		return "", err
 	}
@@ -134,8 +135,13 @@
 }
 
 func (v *VM) ready() bool {
-	client := &http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + v.readyAt + "/readyz")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.readyAt+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return false
 	}
