--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -38,6 +38,17 @@
 	Unknown
 )
 
+// DeniesEffect reports whether an answer of this kind says that a submission or cancellation had no effect and will
+// have none. NoJob is not among them: it confirms a cancellation.
+func (k Kind) DeniesEffect() bool {
+	switch k {
+	case NoQueue, NoKey, Forbidden, Invalid, TooLarge, Refused, Overloaded:
+		return true
+	default:
+		return false
+	}
+}
+
 // Answer holds what a caller is told in reply to a request.
 type Answer struct {
 	Kind Kind
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"auburnstack/core/account"
 	"auburnstack/core/answer"
@@ -21,7 +20,6 @@
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay"
 	"auburnstack/io/store"
-	"auburnstack/io/wait"
 )
 
 const (
@@ -37,16 +35,10 @@
 	// retryJitter is the maximum random time that is added to shortRetry or longRetry, so that callers do not all retry
 	// at once.
 	retryJitter = 2 * time.Second
-	// outcomeTimeout is the maximum time for relaying a request, including the repetitions of a submission whose
-	// outcome is unknown. outcomeRetryPause is the pause between these repetitions.
-	outcomeTimeout    = 1500 * time.Millisecond
-	outcomeRetryPause = 200 * time.Millisecond
 	// storeTimeout is the timeout of one call to the store.
 	storeTimeout = 900 * time.Millisecond
 	// storePause is the pause between two attempts to commit a transaction.
 	storePause = 60 * time.Millisecond
-	// relayTimeout is the timeout of one attempt to relay a request to another VM.
-	relayTimeout = 1200 * time.Millisecond
 )
 
 // Codec decodes submissions.
@@ -97,6 +89,23 @@
 	queue    policy.Queue
 	account  account.Name
 	id       graph.ID
+	// uncertain is set while an attempt to carry out the request may have had an effect, or may still have one. An
+	// attempt is a transaction of this VM whose outcome is unknown, or a relay without a final answer.
+	uncertain bool
+}
+
+// leavesOpen reports whether an answer leaves open what became of the request. A denial does so if an earlier attempt
+// may have taken effect: another VM may judge by a newer configuration, or may not see the effect yet.
+func (c *call) leavesOpen(a answer.Answer) bool {
+	return a.Kind == answer.Unknown || c.uncertain && a.Kind.DeniesEffect()
+}
+
+// finalAnswer returns the answer to pass on. It replaces a denial that an uncertain attempt may make false.
+func (c *call) finalAnswer(a answer.Answer) answer.Answer {
+	if c.leavesOpen(a) {
+		a.Kind = answer.Unknown
+	}
+	return a
 }
 
 // jobID matches the ID of a job.
@@ -107,7 +116,7 @@
 func (i *Intake) Handle(ctx context.Context, request relay.Request, relayed bool) answer.Answer {
 	started := time.Now()
 	c := &call{Request: request, relayed: relayed}
-	a := i.handle(ctx, c)
+	a := c.finalAnswer(i.handle(ctx, c))
 	elapsed := time.Since(started)
 	i.metrics.recordAnswer(request.Method, a.Kind, elapsed)
 	i.logAnswer(c, a, elapsed)
@@ -125,7 +134,7 @@
 	}
 	log("answered", "method", c.Method, "job", c.id, "queue", c.queue.Name, "answer", a.Kind.String(), "reason", a.Reason,
 		"took", elapsed.String(), "relayed", c.relayed, "policy", c.snapshot.Revision,
-		"policyAge", time.Since(c.snapshot.ConfirmedAt).String())
+		"policyAge", time.Since(c.snapshot.ConfirmedAt).String(), "uncertain", c.uncertain)
 }
 
 // handle checks a request against the current configuration and carries it out. It relays the request if the
@@ -196,88 +205,3 @@
 	}
 	return answer.Answer{Kind: answer.Refused, RetryAfter: retry + rand.N(retryJitter), Reason: reason}
 }
-
-// relayOrFallback relays the request and returns the answer of another VM, or the fallback if no VM answers.
-func (i *Intake) relayOrFallback(ctx context.Context, c *call, fallback answer.Answer) answer.Answer {
-	if a, answered := i.relayOnce(ctx, c); answered {
-		return a
-	}
-	return fallback
-}
-
-// relayOnce relays the request unless another VM has already relayed it to this VM; the second result is false when no
-// VM has answered.
-func (i *Intake) relayOnce(ctx context.Context, c *call) (answer.Answer, bool) {
-	if c.relayed || ctx.Err() != nil {
-		return answer.Answer{}, false
-	}
-	return i.relay(ctx, c)
-}
-
-// recordRelayed records that another VM has answered a caller according to its configuration, which may be newer than
-// this VM's. From then on, this VM uses its own configuration only if it was confirmed as the newest after this answer.
-// Otherwise a caller could get an answer according to the new configuration, followed by an answer according to the old
-// configuration.
-func (i *Intake) recordRelayed(a answer.Answer) {
-	if a.Kind != answer.Refused && a.Kind != answer.Unknown {
-		now := time.Now()
-		i.lastRelayed.Store(&now)
-	}
-}
-
-func (i *Intake) lastRelayedAt() time.Time {
-	if at := i.lastRelayed.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
-}
-
-// relay returns the answer of another VM; the second result is false when no VM has answered. If a VM may have stored a
-// submission without answering, relay repeats the submission until its outcome is known. This is safe because
-// submissions are idempotent: the job's ID identifies repetitions.
-func (i *Intake) relay(ctx context.Context, c *call) (answer.Answer, bool) {
-	relayCtx, cancel := context.WithTimeout(ctx, outcomeTimeout)
-	defer cancel()
-	uncertain := false
-	for {
-		a, answered, certain := i.relayRound(relayCtx, c)
-		if answered {
-			i.recordRelayed(a)
-		}
-		if answered && (c.Method != "POST" || !leavesOpen(a, uncertain || !certain)) {
-			return a, true
-		}
-		uncertain = uncertain || !certain
-		if !uncertain || c.Method != "POST" {
-			return answer.Answer{}, false
-		}
-		wait.For(relayCtx, outcomeRetryPause)
-		if relayCtx.Err() != nil {
-			a := i.refusal("a VM that took over the request has not answered")
-			a.Kind = answer.Unknown
-			return a, true
-		}
-	}
-}
-
-// relayRound sends the request to the other VMs in turn until one answers with anything but a refusal. The result named
-// certain is false when a VM has not answered but may have carried out the request.
-func (i *Intake) relayRound(ctx context.Context, c *call) (a answer.Answer, answered, certain bool) {
-	certain = true
-	for _, peer := range i.site.Peers() {
-		if ctx.Err() != nil {
-			break
-		}
-		attemptCtx, cancel := context.WithTimeout(ctx, relayTimeout)
-		a, err := peer.Handle(attemptCtx, c.Request)
-		cancel()
-		if err != nil {
-			certain = certain && errors.Is(err, relay.ErrUnreachable)
-			continue
-		}
-		if a.Kind != answer.Refused {
-			return a, true, certain
-		}
-	}
-	return answer.Answer{}, false, certain
-}
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -46,29 +46,36 @@
 	return &graph.Job{Steps: []graph.Step{{Tasks: 1}}}, nil
 }
 
-// rejectingPeer is another VM that rejects each request because it has a newer configuration without the caller's key.
-// The call before the first rejection gets no answer if loseFirst is set.
-type rejectingPeer struct {
-	loseFirst bool
-	calls     int
+// replies are the answers of a VM to the calls that it gets, in this order. The last one answers all further calls. A
+// reply with the kind lost stands for a call that gets no answer.
+type replies []answer.Kind
+
+// lost is no kind of answer. It stands for a call without an answer.
+const lost = answer.Kind(-1)
+
+// scriptedPeer is another VM that answers each call as its replies say.
+type scriptedPeer struct {
+	replies replies
+	calls   int
 }
 
 // Handle implements relay.Peer.
-func (p *rejectingPeer) Handle(context.Context, relay.Request) (answer.Answer, error) {
+func (p *scriptedPeer) Handle(context.Context, relay.Request) (answer.Answer, error) {
+	kind := p.replies[min(p.calls, len(p.replies)-1)]
 	p.calls++
-	if p.loseFirst && p.calls == 1 {
+	if kind == lost {
 		return answer.Answer{}, relay.ErrUnanswered
 	}
-	return answer.Answer{Kind: answer.NoKey, Reason: "the key belongs to no account"}, nil
+	return answer.Answer{Kind: kind, Reason: "as the script says"}, nil
 }
 
 // Exchange implements relay.Peer.
-func (p *rejectingPeer) Exchange(context.Context, relay.Heartbeat) (relay.HeartbeatReply, error) {
+func (p *scriptedPeer) Exchange(context.Context, relay.Heartbeat) (relay.HeartbeatReply, error) {
 	return relay.HeartbeatReply{}, nil
 }
 
 // Ask implements relay.Peer.
-func (p *rejectingPeer) Ask(context.Context, graph.ID) (relay.JobState, error) {
+func (p *scriptedPeer) Ask(context.Context, graph.ID) (relay.JobState, error) {
 	return relay.JobState{}, nil
 }
 
@@ -91,31 +98,44 @@
 // Peers implements intake.Site.
 func (s siteWithPeers) Peers() []relay.Peer { return s.peers }
 
-// submit submits a job to a VM whose calls to the store have the given faults and whose only peer is given.
-func submit(t *testing.T, faults memstore.Faults, peer *rejectingPeer) (answer.Answer, *memstore.Service) {
+// vm is a VM under test, with its store and its connection to the store.
+type vm struct {
+	service *memstore.Service
+	client  *memstore.Client
+	watcher *policywatch.Watcher
+	intake  *intake.Intake
+}
+
+// newVM returns a VM that knows the newest configuration and has the given peers.
+func newVM(t *testing.T, peers ...relay.Peer) *vm {
 	t.Helper()
-	service := memstore.New(1)
-	service.Put("op/config", []byte("{}"))
-	client := service.Client()
-	monitor := store.NewMonitor(client)
-	watcher := policywatch.New(monitor, codec{}, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
-	defer watcher.Close()
+	v := &vm{service: memstore.New(1)}
+	v.service.Put("op/config", []byte("{}"))
+	v.client = v.service.Client()
+	monitor := store.NewMonitor(v.client)
+	v.watcher = policywatch.New(monitor, codec{}, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
+	t.Cleanup(v.watcher.Close)
 	time.Sleep(time.Second)
-	client.SetFaults(faults)
-	in := intake.New(monitor, codec{}, watcher, siteWithPeers{peers: []relay.Peer{peer}},
+	v.intake = intake.New(monitor, codec{}, v.watcher, siteWithPeers{peers: peers},
 		intake.NewMetrics(metrics.NewSet()), hclog.NewNullLogger())
+	return v
+}
+
+// call handles a caller's request, or one that another VM has relayed.
+func (v *vm) call(method string, relayed bool) answer.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), 2800*time.Millisecond)
 	defer cancel()
-	a := in.Handle(ctx, relay.Request{Method: "POST", Host: "h", Path: "/q/" + jobID, Key: "key"}, false)
-	return a, service
+	return v.intake.Handle(ctx, relay.Request{Method: method, Host: "h", Path: "/q/" + jobID, Key: "key"}, relayed)
 }
 
 // TestRejectionAfterLostAnswer checks that a caller is not told that its job was rejected when the answer to the store's
 // write was lost. The write has taken effect, and the job runs.
 func TestRejectionAfterLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, service := submit(t, memstore.Faults{LoseReplies: 1}, &rejectingPeer{})
-		qt.Assert(t, service.Keys(coordinator.JobKey(jobID)), qt.HasLen, 1)
+		v := newVM(t, &scriptedPeer{replies: replies{answer.NoKey}})
+		v.client.SetFaults(memstore.Faults{LoseReplies: 1})
+		a := v.call("POST", false)
+		qt.Assert(t, v.service.Keys(coordinator.JobKey(jobID)), qt.HasLen, 1)
 		qt.Check(t, a.Kind, qt.Equals, answer.Unknown)
 	})
 }
@@ -124,15 +144,71 @@
 // answer, and another VM rejects the submission.
 func TestRejectionAfterLostRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, _ := submit(t, memstore.Faults{Refuse: true}, &rejectingPeer{loseFirst: true})
-		qt.Check(t, a.Kind, qt.Equals, answer.Unknown)
+		v := newVM(t, &scriptedPeer{replies: replies{lost, answer.NoKey}})
+		v.client.SetFaults(memstore.Faults{Refuse: true})
+		qt.Check(t, v.call("POST", false).Kind, qt.Equals, answer.Unknown)
 	})
 }
 
 // TestRejectionIsRelayed checks that the rejection of another VM is passed on when nothing was stored before.
 func TestRejectionIsRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, _ := submit(t, memstore.Faults{Refuse: true}, &rejectingPeer{})
-		qt.Check(t, a.Kind, qt.Equals, answer.NoKey)
+		v := newVM(t, &scriptedPeer{replies: replies{answer.NoKey}})
+		v.client.SetFaults(memstore.Faults{Refuse: true})
+		qt.Check(t, v.call("POST", false).Kind, qt.Equals, answer.NoKey)
+	})
+}
+
+// TestRefusalAfterUnknownOutcome checks that a caller is not told that its request had no effect while an attempt of any
+// VM to carry it out may still have one. It guards against a job that runs although its submission was refused.
+func TestRefusalAfterUnknownOutcome(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		method  string
+		faults  memstore.Faults
+		relayed bool
+		// peers holds the answers of each other VM.
+		peers []replies
+		want  answer.Kind
+	}{
+		{"lost write, refused by a peer", "POST", memstore.Faults{LoseReplies: 1}, false, []replies{{answer.Refused}}, answer.Unknown},
+		{"lost write of a relayed request", "POST", memstore.Faults{LoseReplies: 1}, true, nil, answer.Unknown},
+		{"lost relay, then refused", "POST", memstore.Faults{Refuse: true}, false, []replies{{lost, answer.Refused}}, answer.Unknown},
+		{"unknown to a peer", "POST", memstore.Faults{Refuse: true}, false, []replies{{answer.Unknown}}, answer.Unknown},
+		{"unknown to a peer, then refused by it", "POST", memstore.Faults{Refuse: true}, false,
+			[]replies{{answer.Unknown, answer.Refused}}, answer.Unknown},
+		{"unknown to a peer, refused by others", "POST", memstore.Faults{Refuse: true}, false,
+			[]replies{{answer.Refused}, {answer.Unknown, answer.Overloaded}, {answer.Refused}}, answer.Unknown},
+		{"unknown to a peer, then accepted", "POST", memstore.Faults{Refuse: true}, false,
+			[]replies{{answer.Unknown, answer.Refused}, {answer.Refused, answer.Done}}, answer.Done},
+		{"cancellation unknown to a peer, refused by others", "DELETE", memstore.Faults{Refuse: true}, false,
+			[]replies{{answer.Unknown, answer.Refused}, {answer.Refused}}, answer.Unknown},
+		{"lost relay of a cancellation", "DELETE", memstore.Faults{Refuse: true}, false,
+			[]replies{{lost, answer.Refused}}, answer.Unknown},
+		{"refused by all", "POST", memstore.Faults{Refuse: true}, false, []replies{{answer.Refused}, {answer.Refused}}, answer.Refused},
+		{"refused, relayed", "POST", memstore.Faults{Refuse: true}, true, nil, answer.Refused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var peers []relay.Peer
+				for _, r := range test.peers {
+					peers = append(peers, &scriptedPeer{replies: r})
+				}
+				v := newVM(t, peers...)
+				v.client.SetFaults(test.faults)
+				qt.Check(t, v.call(test.method, test.relayed).Kind, qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+// TestUnknownOutcomeOfOldConfiguration is the same for a VM that relays its requests because another VM has answered
+// one of them, perhaps according to a newer configuration.
+func TestUnknownOutcomeOfOldConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVM(t, &scriptedPeer{replies: replies{answer.Done, answer.Unknown, answer.Refused}})
+		v.client.SetFaults(memstore.Faults{Refuse: true})
+		qt.Assert(t, v.call("POST", false).Kind, qt.Equals, answer.Done)
+		qt.Check(t, v.call("POST", false).Kind, qt.Equals, answer.Unknown)
 	})
 }
--- /dev/null
+++ b/io/intake/relay.go
@@ -0,0 +1,102 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"auburnstack/core/answer"
+	"auburnstack/io/relay"
+	"auburnstack/io/wait"
+)
+
+const (
+	// outcomeTimeout is the maximum time for relaying a request, including the repetitions of a request whose outcome is
+	// unknown. outcomeRetryPause is the pause between these repetitions.
+	outcomeTimeout    = 1500 * time.Millisecond
+	outcomeRetryPause = 200 * time.Millisecond
+	// relayTimeout is the timeout of one attempt to relay a request to another VM.
+	relayTimeout = 1200 * time.Millisecond
+)
+
+// relayOrFallback relays the request, and returns the answer of another VM, or the fallback if no VM has given a final
+// one. It repeats a request whose outcome is uncertain until the outcome is known. This is safe because submissions and
+// cancellations are idempotent: the job's ID identifies repetitions.
+func (i *Intake) relayOrFallback(ctx context.Context, c *call, fallback answer.Answer) answer.Answer {
+	relayCtx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	for {
+		if a, settled := i.relayOnce(relayCtx, c); settled {
+			return a
+		}
+		if !c.uncertain || c.relayed {
+			return fallback
+		}
+		wait.For(relayCtx, outcomeRetryPause)
+		if relayCtx.Err() != nil {
+			fallback.Reason = "a VM that took over the request has not confirmed it"
+			return fallback
+		}
+	}
+}
+
+// relayOnce relays the request to the other VMs in turn, unless another VM has already relayed it to this VM. The second
+// result is false if no VM has given a final answer.
+func (i *Intake) relayOnce(ctx context.Context, c *call) (answer.Answer, bool) {
+	if c.relayed || ctx.Err() != nil {
+		return answer.Answer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	a, answered, certain := i.relayRound(ctx, c)
+	if !certain && c.Method != "GET" {
+		c.uncertain = true
+	}
+	if answered {
+		i.recordRelayed(a)
+	}
+	return a, answered && !c.leavesOpen(a)
+}
+
+// relayRound sends the request to the other VMs in turn until one answers with anything but a refusal. The result named
+// certain is false if a VM may have carried out the request: it has not answered, or it does not know the outcome.
+func (i *Intake) relayRound(ctx context.Context, c *call) (a answer.Answer, answered, certain bool) {
+	certain = true
+	for _, peer := range i.site.Peers() {
+		if ctx.Err() != nil {
+			break
+		}
+		attemptCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		a, err := peer.Handle(attemptCtx, c.Request)
+		cancel()
+		switch {
+		case err != nil:
+			certain = certain && errors.Is(err, relay.ErrUnreachable)
+		case a.Kind == answer.Unknown:
+			return a, true, false
+		case a.Kind != answer.Refused:
+			return a, true, certain
+		}
+	}
+	return answer.Answer{}, false, certain
+}
+
+// recordRelayed records that another VM has answered a caller according to its configuration, which may be newer than
+// this VM's. From then on, this VM uses its own configuration only if it was confirmed as the newest after this answer.
+// Otherwise a caller could get an answer according to the new configuration, followed by an answer according to the old
+// configuration.
+func (i *Intake) recordRelayed(a answer.Answer) {
+	if a.Kind != answer.Refused && a.Kind != answer.Unknown {
+		now := time.Now()
+		i.lastRelayed.Store(&now)
+	}
+}
+
+// lastRelayedAt returns the time that recordRelayed has recorded last; zero if there is none.
+func (i *Intake) lastRelayedAt() time.Time {
+	if at := i.lastRelayed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -100,41 +100,35 @@
 func (i *Intake) commit(
 	ctx context.Context, c *call, t store.Transaction, resolveConflict func(*store.ConflictError) (answer.Answer, bool),
 ) answer.Answer {
-	uncertain := false
 	for {
 		_, err := i.tryCommit(ctx, t)
 		if err == nil {
+			c.uncertain = false
 			return answer.Answer{Kind: answer.Done}
 		}
 		var conflict *store.ConflictError
 		switch {
 		case errors.As(err, &conflict):
 			if a, resolved := resolveConflict(conflict); resolved {
+				c.uncertain = false
 				return a
 			}
 			return i.retryWithNewPolicy(ctx, c, conflict)
-		case errors.Is(err, store.ErrRefused) && !uncertain:
+		case errors.Is(err, store.ErrRefused) && !c.uncertain:
 			return i.relayOrFallback(ctx, c, i.refusal(err.Error()))
 		case !errors.Is(err, store.ErrRefused):
-			uncertain = true
+			c.uncertain = true
 		}
 		if ctx.Err() != nil {
 			return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
 		}
-		if a, answered := i.relayOnce(ctx, c); answered && !leavesOpen(a, uncertain) {
+		if a, settled := i.relayOnce(ctx, c); settled {
 			return a
 		}
 		wait.For(ctx, storePause)
 	}
 }
 
-// leavesOpen reports whether another VM's answer leaves the outcome of a transaction open. A rejection does if an
-// earlier attempt may have taken effect: the other VM may judge by a newer configuration, or may not see the effect
-// yet.
-func leavesOpen(a answer.Answer, uncertain bool) bool {
-	return a.Kind == answer.Unknown || uncertain && a.Kind != answer.Done
-}
-
 func (i *Intake) tryCommit(ctx context.Context, t store.Transaction) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
