--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -38,6 +38,29 @@
 	}
 }
 
+// observeLateEnd handles the end of a run that counts as lost already, because its worker was silent for longer than its
+// lease. That was a guess: if the run has finished its task, nothing needs to run again. A newer run is stopped.
+func (p *Planner) observeLateEnd(end *EndedRun, now time.Time) {
+	j, known := p.jobs[end.Task.Job]
+	if !known || j.state.Final() || end.Kind != EndDone {
+		return
+	}
+	u := j.findUnit(end.Task.Occurrence, end.Task.Step, end.Task.Index)
+	if u == nil || u.phase == finished || u.spec().LongRunning || !u.endedBefore(end.Run) {
+		return
+	}
+	p.stopUnit(u, NotWanted)
+	p.finishUnit(u, nil, now)
+}
+
+// endedBefore reports whether a run of the unit was ordered to start and counts as ended.
+func (u *unit) endedBefore(run graph.Run) bool {
+	if u.phase == running || u.phase == ending || u.phase == recording {
+		return run < u.run
+	}
+	return run <= u.run
+}
+
 // maxAvoided limits the number of workers that a unit avoids, because long-running tasks may fail any number of times.
 const maxAvoided = 4
 
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -38,7 +38,10 @@
 	// Clock is the reading of the worker's own clock at the time of the report. It starts anew with each incarnation.
 	Clock time.Duration
 	Runs  []RunningTask
-	Ended []EndedRun
+	// Ended holds the first ended runs that are not acknowledged. MoreEnded is set if there may be others; a run that the
+	// report does not list may then be among these.
+	Ended     []EndedRun
+	MoreEnded bool
 }
 
 // RunningTask is a worker's report of one running task.
@@ -89,7 +92,9 @@
 			w.unwantedRuns++
 		}
 	}
-	p.endMissing(w, seen, o.Sent, now)
+	if !o.MoreEnded {
+		p.endMissing(w, seen, o.Sent, now)
+	}
 }
 
 // lookup returns the member of the given run on a worker, or nil if that run is not the newest one of its unit or was
@@ -113,6 +118,7 @@
 func (p *Planner) observeEnd(w *worker, end *EndedRun, now time.Time) {
 	m := p.lookup(w, end.Task, end.Run)
 	if m == nil || m.state == planned {
+		p.observeLateEnd(end, now)
 		return
 	}
 	p.memberEnded(m, end.Kind, end.Checkpoint, now)
--- a/core/planner/restart.go
+++ b/core/planner/restart.go
@@ -61,11 +61,14 @@
 }
 
 // fateOf returns the fate of a run according to the first report of its worker's new incarnation. The report shows all
-// runs whose start was answered before the report was requested.
+// runs whose start was answered before the report was requested, unless it is not complete.
 func (o *Observation) fateOf(m *member) fate {
 	switch {
 	case o.lists(m) || m.state == active && m.answeredAt.After(o.Sent):
 		return kept
+	case o.MoreEnded:
+		// The run may be among the ended runs that the report does not list.
+		return kept
 	case m.state == active || m.restored:
 		return lost
 	default:
@@ -73,8 +76,13 @@
 	}
 }
 
-// lists reports whether the report lists the run of a member.
+// lists reports whether the report lists the run of a member, as running or ended.
 func (o *Observation) lists(m *member) bool {
+	for i := range o.Ended {
+		if o.Ended[i].Run == m.unit.run && o.Ended[i].Task == m.unit.task(m.index) {
+			return true
+		}
+	}
 	for i := range o.Runs {
 		if o.Runs[i].Run == m.unit.run && o.Runs[i].Task == m.unit.task(m.index) {
 			return true
--- a/io/coordinator/link.go
+++ b/io/coordinator/link.go
@@ -219,7 +219,7 @@
 	l.post(ctx, holdAnswered{
 		observation: planner.Observation{
 			Worker: l.info.Name, Incarnation: reply.Incarnation, Sent: sent, Clock: time.Duration(reply.Clock),
-			Runs: reply.Runs, Ended: reply.Ended,
+			Runs: reply.Runs, Ended: reply.Ended, MoreEnded: reply.MoreEnded,
 		},
 		lastEnd: reply.Last,
 	})
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -37,7 +37,9 @@
 	Clock       WorkerTime
 	Incarnation roster.Incarnation
 	Runs        []planner.RunningTask
-	Ended       []planner.EndedRun
+	// Ended holds the first ended runs that are not acknowledged. MoreEnded is set if there may be others.
+	Ended     []planner.EndedRun
+	MoreEnded bool
 	// Last is the sequence number of the last run in Ended; 0 if Ended is empty.
 	Last int64
 }
--- a/io/site/matrix_test.go
+++ b/io/site/matrix_test.go
@@ -219,6 +219,12 @@
 	return time.Duration(n * float64(time.Second))
 }
 
+func (f *fleet) number(word string) int {
+	n, err := strconv.Atoi(word)
+	qt.Check(f.t, err, qt.IsNil)
+	return n
+}
+
 // awaitLeader waits until one of the VMs leads, and returns that VM.
 func (f *fleet) awaitLeader() *testVM {
 	for {
--- a/io/site/trouble_test.go
+++ b/io/site/trouble_test.go
@@ -23,6 +23,8 @@
 	leaverWork    = 6 * time.Second
 	drainLead     = 2400 * time.Millisecond
 	announcedStay = 3 * time.Second
+	// smallWork is the work of the tasks of which many end at the same time.
+	smallWork = 3 * time.Second
 )
 
 // fullCapacity is the capacity of a worker unless a fault has changed it to smallCapacity.
@@ -118,6 +120,8 @@
 		f.submitDeadly(oneStep(4, false, 1), memworker.Plan{DeadlyTasks: 2, CrashDelay: f.seconds(words[1])})
 	case "deadly-gang":
 		f.submitDeadly(oneStep(3, true, 1), memworker.Plan{DeadlyTasks: 1, CrashDelay: f.seconds(words[1]), Gang: 3})
+	case "many-ends":
+		f.submitSmall(f.number(words[1]))
 	case "load":
 		f.load(f.seconds(words[1]))
 	case "drain":
@@ -181,6 +185,19 @@
 	}
 }
 
+// submitSmall submits a job with the given number of tasks, of which several hundred fit on a worker, and waits until
+// all of them run.
+func (f *fleet) submitSmall(tasks int) {
+	steps := oneStep(tasks, false, 0)
+	steps[0].Estimate = smallWork
+	steps[0].Needs = resources.Amounts{CPU: 8, Memory: 8}
+	id := f.submit(batchQueue, steps, memworker.Plan{Work: smallWork})
+	f.troubled.innocent = append(f.troubled.innocent, id)
+	for f.workers.Running(id) < tasks {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // load submits a job with more tasks than the workers can run at a time every half second.
 func (f *fleet) load(length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
--- a/standin/memworker/machine.go
+++ b/standin/memworker/machine.go
@@ -191,6 +191,9 @@
 	return nil
 }
 
+// maxListedEnds is the largest number of ended runs in one reply to a heartbeat. The reply lists the first ones.
+const maxListedEnds = 500
+
 // holdReply discards the ended runs up to the acknowledged number and returns the reply to a heartbeat.
 func (w *simulatedWorker) holdReply(acknowledged int64) runner.HoldReply {
 	kept := w.unacknowledged[:0]
@@ -200,7 +203,9 @@
 		}
 	}
 	w.unacknowledged = kept
-	reply := runner.HoldReply{Clock: w.clock(), Incarnation: w.info.Incarnation}
+	reply := runner.HoldReply{
+		Clock: w.clock(), Incarnation: w.info.Incarnation, MoreEnded: len(w.unacknowledged) >= maxListedEnds,
+	}
 	for task, r := range w.runs {
 		percent := 0
 		if r.workTimer != nil {
@@ -216,7 +221,7 @@
 			Task: task, Run: r.id, Percent: percent, Reading: w.reading(r),
 		})
 	}
-	for _, e := range w.unacknowledged {
+	for _, e := range w.unacknowledged[:min(len(w.unacknowledged), maxListedEnds)] {
 		reply.Ended = append(reply.Ended, e.end)
 		reply.Last = e.number
 	}
