--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -102,8 +102,8 @@
 	MaxTasks = 4096
 	// MaxSteps is the maximum number of steps in a job.
 	MaxSteps = 256
-	// MaxJobTasks is the maximum number of tasks in all steps and occurrences of a job together. The progress of all
-	// tasks is one value of the store, which holds at most a megabyte.
+	// MaxJobTasks is the maximum number of tasks in all steps and occurrences of a job together. A leader holds all of
+	// them in memory.
 	MaxJobTasks = 8192
 	// MaxAmount is the largest amount of a resource that a task may need, in the units of resources.Amounts. The sums over
 	// many tasks must not overflow.
--- a/core/graph/progress.go
+++ b/core/graph/progress.go
@@ -24,16 +24,31 @@
 	return s == Complete || s == Failed || s == Canceled
 }
 
-// Progress is the stored progress of a job. Only the leader elected among the VMs writes it.
+// Progress is the stored progress of a job, or one part of it. Only the leader elected among the VMs writes it. A job
+// with many tasks has several parts, each a record of its own, so that the size of a record has a bound.
 type Progress struct {
-	ID     ID
+	ID ID
+	// Part is the number of the part, counted from 0. Parts is the number of all parts; 0 if part 0 has all units, as in
+	// all records of earlier builds.
+	Part  int `json:",omitempty"`
+	Parts int `json:",omitempty"`
+	// State, Reason and Ended are set in part 0 only.
 	State  State
 	Reason string    `json:",omitempty"`
 	Ended  time.Time `json:",omitzero"`
-	// Units has one entry for each gang, and for each task outside a gang, that was ever placed on workers.
+	// Units has one entry for each gang, and for each task outside a gang, of the part that was ever placed on workers.
 	Units []UnitProgress `json:",omitempty"`
 }
 
+// Add adds another part of the same job, in any order.
+func (p *Progress) Add(part Progress) {
+	units := append(p.Units, part.Units...)
+	if part.Part == 0 {
+		*p = part
+	}
+	p.ID, p.Units = part.ID, units
+}
+
 // UnitProgress is the stored progress of a gang, or of one task outside a gang.
 type UnitProgress struct {
 	Occurrence int `json:",omitempty"`
--- a/core/planner/crash.go
+++ b/core/planner/crash.go
@@ -261,7 +261,7 @@
 	if u.isolated() {
 		p.suspected[u] = struct{}{}
 	}
-	p.markDirty(u.job)
+	p.markDirty(u.part)
 	p.report(CrashAttributed{
 		Task: run.Task, Run: run.Run, Worker: w.Name, Age: run.Age, Unambiguous: unambiguous,
 		Crashes: u.crashes, UnambiguousCrashes: u.unambiguousCrashes,
@@ -273,7 +273,7 @@
 func (p *Planner) excuse(run lostRun) {
 	if run.unit.lost(run) {
 		run.unit.excusedCrashes++
-		p.markDirty(run.unit.job)
+		p.markDirty(run.unit.part)
 	}
 }
 
@@ -291,7 +291,7 @@
 func (p *Planner) acquit(u *unit) {
 	u.crashes, u.unambiguousCrashes, u.excusedCrashes, u.crashAge = 0, 0, 0, 0
 	delete(p.suspected, u)
-	p.markDirty(u.job)
+	p.markDirty(u.part)
 }
 
 const (
--- a/core/planner/crash_test.go
+++ b/core/planner/crash_test.go
@@ -217,7 +217,7 @@
 	qt.Assert(t, json.Unmarshal(text, &read), qt.IsNil)
 	p := New(testSettings(), testPolicy())
 	p.Restore(job, read, now)
-	qt.Check(t, p.jobs["job"].progress().Units[0], qt.DeepEquals, record.Units[0])
+	qt.Check(t, p.jobs["job"].wholeProgress().Units[0], qt.DeepEquals, record.Units[0])
 
 	var old graph.UnitProgress
 	qt.Assert(t, json.Unmarshal([]byte(`{"Run":3,"Failures":1}`), &old), qt.IsNil)
@@ -294,7 +294,7 @@
 			first.SetResponsive("w", true)
 			first.Submit(job, now)
 			onlyStart(t, first, now)
-			stored := first.jobs["job"].progress()
+			stored := first.jobs["job"].wholeProgress()
 
 			second := New(testSettings(), testPolicy())
 			second.Restore(job, stored, now)
--- a/core/planner/depart_test.go
+++ b/core/planner/depart_test.go
@@ -113,7 +113,7 @@
 	onlyStart(t, first, now)
 
 	second := New(testSettings(), testPolicy())
-	second.Restore(job, first.jobs["j"].progress(), now)
+	second.Restore(job, first.jobs["j"].wholeProgress(), now)
 	second.SetWorkers(nil, now)
 	absences := second.Absences()
 	qt.Assert(t, absences, qt.HasLen, 1)
--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -106,10 +106,11 @@
 	}
 	if u.job.remaining == 0 {
 		u.job.state, u.job.ended = graph.Complete, now
+		p.markDirty(u.job.parts[0])
 	} else {
 		p.unblock(u.job, now)
 	}
-	p.markDirty(u.job)
+	p.markDirty(u.part)
 }
 
 // interruptUnit stops the remaining members of a unit after one of them has ended. When the last member has ended, the
@@ -117,7 +118,7 @@
 func (p *Planner) interruptUnit(u *unit, now time.Time) {
 	if !u.job.state.Final() {
 		// After a job has ended, the ends of its stopped runs are not stored, because nobody asks for them.
-		p.markDirty(u.job)
+		p.markDirty(u.part)
 	}
 	for _, m := range u.members {
 		if m.state == ended {
--- a/core/planner/expired.go
+++ b/core/planner/expired.go
@@ -78,7 +78,7 @@
 			lost = append(lost, run.lostRun)
 		case run.counted && u.crashedRun == run.Run && u.crashes > 0:
 			u.crashes--
-			p.markDirty(u.job)
+			p.markDirty(u.part)
 		}
 	}
 	return lost
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -20,8 +20,8 @@
 	ended  time.Time
 	// started is set once a worker has accepted a start order of the job or has reported one of its tasks as running.
 	started bool
-	// version increases with each change of the progress.
-	version uint64
+	// parts holds the units in the order of units, divided into the parts that are stored together.
+	parts []*part
 	// remaining is the number of units that have not finished.
 	remaining int
 	// firstStart is the time of the job's first start order.
@@ -73,6 +73,7 @@
 			}
 		}
 	}
+	p.splitUnits(j)
 	return j
 }
 
@@ -177,13 +178,17 @@
 func (p *Planner) end(j *jobState, state graph.State, reason string, stopReason StopReason, now time.Time) {
 	j.state, j.reason, j.ended = state, reason, now
 	j.eachUnit(func(u *unit) { p.stopUnit(u, stopReason) })
-	p.markDirty(j)
+	p.markDirty(j.parts[0])
 }
 
-// markDirty marks a job's progress as changed, so that TakeChanges returns it.
-func (p *Planner) markDirty(j *jobState) {
-	j.version++
-	p.dirty[j.ID] = j
+// markDirty marks a part of a job's progress as changed, so that TakeChanges returns it.
+func (p *Planner) markDirty(changed *part) {
+	p.changes++
+	changed.version = p.changes
+	if _, known := p.dirty[changed]; !known {
+		changed.since = p.changes
+		p.dirty[changed] = struct{}{}
+	}
 	p.needsPlacement = true
 }
 
@@ -215,7 +220,7 @@
 func (p *Planner) withdraw(u *unit) {
 	delete(p.awaitingCapacity, u)
 	if u.phase == recording {
-		p.markDirty(u.job)
+		p.markDirty(u.part)
 	}
 	for _, m := range u.members {
 		m.release()
@@ -224,14 +229,24 @@
 	u.phase = blocked
 }
 
-// Forget removes the jobs that ended more than RetainFinal ago and returns their IDs.
-func (p *Planner) Forget(now time.Time) []graph.ID {
-	var forgotten []graph.ID
+// Forgotten is a job that the planner no longer has, and whose progress has the given number of parts.
+type Forgotten struct {
+	ID    graph.ID
+	Parts int
+}
+
+// Forget removes the jobs that ended more than RetainFinal ago and returns them.
+func (p *Planner) Forget(now time.Time) []Forgotten {
+	var forgotten []Forgotten
 	for id, j := range p.jobs {
 		if j.stored.Final() && !j.hasActiveUnits() && now.Sub(j.ended) > p.settings.RetainFinal {
 			delete(p.jobs, id)
+			for _, changed := range j.parts {
+				delete(p.dirty, changed)
+				delete(p.storing, changed)
+			}
 			p.forgetAdvice(id)
-			forgotten = append(forgotten, id)
+			forgotten = append(forgotten, Forgotten{ID: id, Parts: len(j.parts)})
 		}
 	}
 	return forgotten
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -273,6 +273,6 @@
 	delete(p.awaitingCapacity, u)
 	u.phase = recording
 	u.run++
-	p.markDirty(u.job)
-	u.recordVersion = u.job.version
+	p.markDirty(u.part)
+	u.recordVersion = u.part.version
 }
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -58,8 +58,12 @@
 	// awaitingCapacity holds the units that have been assigned workers and wait until these workers have enough free
 	// capacity.
 	awaitingCapacity map[*unit]struct{}
-	// dirty holds the jobs whose progress has changed since TakeChanges last returned the job's progress.
-	dirty   map[graph.ID]*jobState
+	// dirty holds the parts of jobs' progress that have changed since TakeChanges last returned them. storing holds the
+	// parts that TakeChanges has returned and that are not stored yet, with the numbers of their oldest changes. changes
+	// is the number of all changes so far.
+	dirty   map[*part]struct{}
+	storing map[*part]uint64
+	changes uint64
 	actions []Action
 	// findings holds the findings since the last call of TakeFindings.
 	findings []Finding
@@ -81,6 +85,8 @@
 	// of rounds that have begun.
 	round  *round
 	rounds uint64
+	// partTasks is maxPartTasks, but for tests.
+	partTasks int
 	// examineLimit is maxExamined, but for tests. lastExamined is the number of workers and running tasks that the last
 	// call of Plan has examined to place units.
 	examineLimit, lastExamined int
@@ -109,7 +115,9 @@
 		recurring:        map[graph.ID]*jobState{},
 		waiting:          map[*unit]struct{}{},
 		awaitingCapacity: map[*unit]struct{}{},
-		dirty:            map[graph.ID]*jobState{},
+		dirty:            map[*part]struct{}{},
+		storing:          map[*part]uint64{},
+		partTasks:        maxPartTasks,
 		suspected:        map[*unit]struct{}{},
 		advice:           map[graph.StepID]*advice{},
 		sizes:            map[roster.Size]int{},
--- a/core/planner/property_test.go
+++ b/core/planner/property_test.go
@@ -33,7 +33,7 @@
 	// done holds the units that have finished, by the ID of their first task.
 	done   map[graph.TaskID]bool
 	jobs   map[graph.ID]*graph.Job
-	stored map[graph.ID]graph.Progress
+	stored map[graph.ID]storedParts
 	// deadly holds the jobs whose tasks crash the workers that start them. They do so deadlyDelay after their start.
 	// crashAt holds the time at which the newest run of each of these tasks crashes its worker. downUntil holds the time
 	// at which each crashed worker starts again. starts counts the start orders of each unit, crashes those lost in a
@@ -52,6 +52,13 @@
 	storeDown bool
 }
 
+const (
+	// smallPartTasks divides even small jobs into several parts. maxStoredAtOnce is the largest number of parts that are
+	// stored together.
+	smallPartTasks  = 2
+	maxStoredAtOnce = 3
+)
+
 // fullCapacity is the capacity of each worker of a simulatedSite while it is not shrunk.
 var fullCapacity = resources.Amounts{CPU: 8000, Memory: 8000, Accelerators: 8}
 
@@ -59,12 +66,13 @@
 	w := &simulatedSite{
 		t: t, now: time.Unix(1000, 0), silent: map[endpoint.Name]bool{}, stopping: map[graph.TaskID]bool{},
 		running: map[endpoint.Name]map[graph.TaskID]Start{}, leases: map[endpoint.Name]time.Time{},
-		done: map[graph.TaskID]bool{}, jobs: map[graph.ID]*graph.Job{}, stored: map[graph.ID]graph.Progress{},
+		done: map[graph.TaskID]bool{}, jobs: map[graph.ID]*graph.Job{}, stored: map[graph.ID]storedParts{},
 		deadly: map[graph.ID]bool{}, downUntil: map[endpoint.Name]time.Time{}, starts: map[graph.TaskID]map[graph.Run]bool{},
 		crashes: map[graph.TaskID]map[graph.Run]bool{}, caused: map[graph.TaskID]map[graph.Run]bool{}, crashAt: map[graph.TaskID]time.Time{},
 		shrunk: map[endpoint.Name]resources.Amounts{},
 	}
 	w.planner = New(testSettings(), testPolicy())
+	w.planner.partTasks = smallPartTasks
 	for i := range 6 {
 		name := endpoint.Name(fmt.Sprintf("worker-%d", i))
 		w.workers = append(w.workers, &roster.Worker{
@@ -199,10 +207,10 @@
 		actions := w.planner.Plan(w.now)
 		var changes []Change
 		if !w.storeDown {
-			changes = w.planner.TakeChanges(100)
+			changes = w.planner.TakeChanges(maxStoredAtOnce)
 		}
 		for _, c := range changes {
-			w.stored[c.Progress.ID] = c.Progress
+			w.stored[c.Progress.ID] = withPart(w.stored[c.Progress.ID], c.Progress)
 			w.planner.Stored(c, w.now)
 		}
 		for _, action := range actions {
@@ -331,10 +339,11 @@
 // takeover replaces the planner with a new one that knows only the stored progress.
 func (w *simulatedSite) takeover() {
 	w.planner = New(testSettings(), testPolicy())
+	w.planner.partTasks = smallPartTasks
 	w.setWorkers()
 	for id, job := range w.jobs {
 		if progress, begun := w.stored[id]; begun {
-			w.planner.Restore(job, progress, w.now)
+			w.planner.Restore(job, progress.whole(), w.now)
 		} else {
 			w.planner.Submit(job, w.now)
 		}
--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -6,14 +6,16 @@
 	"auburnstack/core/graph"
 )
 
-// Restore adds a job that was accepted earlier, with its stored progress. It has no effect if the planner already has
-// the job.
+// Restore adds a job that was accepted earlier, with all parts of its stored progress. It has no effect if the planner
+// already has the job.
 func (p *Planner) Restore(job *graph.Job, progress graph.Progress, now time.Time) {
 	if _, known := p.jobs[job.ID]; known {
 		return
 	}
 	j := p.addJob(job)
-	j.state, j.stored = progress.State, progress.State
+	if progress.State != "" {
+		j.state, j.stored = progress.State, progress.State
+	}
 	j.reason, j.ended = progress.Reason, progress.Ended
 	for _, record := range progress.Units {
 		p.restoreUnit(j, record, now)
@@ -24,9 +26,20 @@
 	if !j.state.Final() {
 		p.unblock(j, now)
 	}
+	if progress.Parts != j.recordedParts() && !j.state.Final() {
+		p.storeAnew(j)
+	}
 	p.needsPlacement = true
 }
 
+// storeAnew marks all parts of a job as changed, because its record was divided into other parts. The first part, whose
+// record has held all units until now, is stored last.
+func (p *Planner) storeAnew(j *jobState) {
+	for i := len(j.parts) - 1; i >= 0; i-- {
+		p.markDirty(j.parts[i])
+	}
+}
+
 // restoreUnit applies the stored progress of one unit. A unit with stored workers counts as running on these workers
 // until a worker's report or the end of a worker's lease shows otherwise.
 func (p *Planner) restoreUnit(j *jobState, record graph.UnitProgress, now time.Time) {
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -91,7 +91,7 @@
 	question Consult
 	// rejectTicket makes the worker reject the ticket of the next start order.
 	rejectTicket bool
-	stored       map[graph.ID]graph.Progress
+	stored       map[graph.ID]storedParts
 	jobs         map[graph.ID]*graph.Job
 	// storeDown is set while no change can be stored.
 	storeDown bool
@@ -101,7 +101,7 @@
 	p := &scriptRunner{
 		t: t, now: time.Unix(1000, 0), workers: map[string]*roster.Worker{}, policy: testPolicy(),
 		running: map[endpoint.Name]map[graph.TaskID]Start{}, percent: map[graph.TaskID]int{}, reading: map[graph.TaskID]float64{},
-		stored: map[graph.ID]graph.Progress{}, jobs: map[graph.ID]*graph.Job{},
+		stored: map[graph.ID]storedParts{}, jobs: map[graph.ID]*graph.Job{},
 	}
 	p.planner = New(testSettings(), p.policy)
 	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
@@ -382,7 +382,7 @@
 	for _, id := range ids {
 		job := p.jobs[graph.ID(id)]
 		if progress, begun := p.stored[job.ID]; begun {
-			p.planner.Restore(job, progress, p.now)
+			p.planner.Restore(job, progress.whole(), p.now)
 		} else {
 			p.planner.Submit(job, p.now)
 		}
@@ -398,7 +398,7 @@
 			changes = p.planner.TakeChanges(100)
 		}
 		for _, c := range changes {
-			p.stored[c.Progress.ID] = c.Progress
+			p.stored[c.Progress.ID] = withPart(p.stored[c.Progress.ID], c.Progress)
 			if c.Progress.State.Final() {
 				fmt.Fprintf(&p.out, "%s is %s %s\n", c.Progress.ID, c.Progress.State, c.Progress.Reason)
 			}
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -31,7 +31,9 @@
 
 // unit is the smallest part of a job that is placed as a whole: all tasks of a gang, or a single task.
 type unit struct {
-	job        *jobState
+	job *jobState
+	// part is the part of the job's progress that has the unit.
+	part       *part
 	occurrence int
 	step       int
 	// index is the index of the unit's task within the step, or 0 for a gang.
@@ -69,7 +71,7 @@
 	resumed bool
 	// triedIn is the number of the last round that tried to place the unit.
 	triedIn uint64
-	// recordVersion is the version of the job's progress that contains the newest placement.
+	// recordVersion is the version of the part that contains the newest placement.
 	recordVersion uint64
 }
 
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -36,8 +36,10 @@
 	Inventory inventory.Service
 	Upkeep    UpkeepCodec
 	Settings  planner.Settings
-	Metrics   *Metrics
-	Log       hclog.Logger
+	// ValueLimit is the largest size of a value of Store in bytes; 0 means that there is no limit.
+	ValueLimit int
+	Metrics    *Metrics
+	Log        hclog.Logger
 }
 
 // Coordinator does the work of the leader during the terms in which its VM leads.
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -60,13 +60,14 @@
 	settled bool
 }
 
-// flushDone reports the outcome of a transaction that stores changes of jobs' progress. revisions holds, for each job
-// in the transaction, the new store revision of the job's progress record.
+// flushDone reports the outcome of storing changes of jobs' progress.
 type flushDone struct {
-	changes   []planner.Change
-	revisions map[graph.ID]store.Revision
-	// stored is false if the term ended before the outcome was known.
-	stored bool
+	stored []planner.Change
+	// revisions holds the new store revisions of the stored records by their keys.
+	revisions map[string]store.Revision
+	// rejected holds the changes whose records the store will never accept. open holds those whose outcome was not known
+	// when the term ended.
+	rejected, open []planner.Change
 }
 
 // policyChanged reports that another configuration is in force.
--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,13 +16,18 @@
 	"auburnstack/io/wait"
 )
 
-// maxFlush is the largest number of changes of jobs' progress in one transaction. Each change needs one condition and
-// one put, and the check of the leader key needs one more condition.
-const maxFlush = (store.MaxEntries - 1) / 2
+const (
+	// maxFlush is the largest number of records in one transaction. Each needs one condition and one put, and the check
+	// of the leader key needs one more condition.
+	maxFlush = (store.MaxEntries - 1) / 2
+	// maxFlushBytes is the size from which on a transaction gets no further record. It takes a quarter of a second on the
+	// slowest links.
+	maxFlushBytes = 192 << 10
+)
 
-// record is a change of a job's progress, encoded for the store.
+// record is a part of a job's progress, encoded for the store.
 type record struct {
-	id       graph.ID
+	change   planner.Change
 	key      string
 	value    []byte
 	expected store.Revision
@@ -32,59 +38,122 @@
 	if t.flushInFlight || !t.planner.HasChanges() {
 		return
 	}
-	changes := t.planner.TakeChanges(maxFlush)
-	if !t.planner.HasChanges() {
-		t.flushedObservations = t.observations
-	}
-	records := make([]record, 0, len(changes))
-	for _, change := range changes {
-		value, err := json.Marshal(change.Progress)
+	var records []record
+	bytes := 0
+	for _, change := range t.planner.TakeChanges(maxFlush) {
+		if bytes >= maxFlushBytes {
+			t.planner.NotStored(change)
+			continue
+		}
+		value, err := encodeProgress(change.Progress, t.config.ValueLimit)
 		if err != nil {
 			t.config.Log.Error("encoding progress failed", "job", change.Progress.ID, "error", err.Error())
 			t.role.Resign()
 			return
 		}
-		id := change.Progress.ID
-		records = append(records, record{id: id, key: ProgressKey(id), value: value, expected: t.revisions[id]})
+		key := partKey(change.Progress.ID, change.Progress.Part)
+		records = append(records, record{change: change, key: key, value: value, expected: t.revisions[key]})
+		bytes += len(value)
 	}
 	t.flushInFlight = true
-	t.spawn(func() { t.storeProgress(changes, records) })
+	t.spawn(func() { t.storeProgress(records) })
+}
+
+// encodeProgress encodes a record for a store with the given largest size of a value, 0 for no limit. It leaves out the longest
+// checkpoints if the record takes more than half of that, so that tasks may start from an older state after a change of
+// leader.
+func encodeProgress(progress graph.Progress, limit int) ([]byte, error) {
+	value, err := json.Marshal(progress)
+	if err != nil || limit == 0 || len(value) <= limit/2 {
+		return value, errors.WithStack(err)
+	}
+	for longest := limit / 2 / max(len(progress.Units), 1); longest > 0 && len(value) > limit/2; longest /= 2 {
+		shortened := progress
+		shortened.Units = slices.Clone(progress.Units)
+		for i := range shortened.Units {
+			if len(shortened.Units[i].Checkpoint) > longest {
+				shortened.Units[i].Checkpoint = ""
+			}
+		}
+		if value, err = json.Marshal(shortened); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	return value, nil
 }
 
-// storeProgress stores the given progress records, and retries until the outcome is known or the term ends. If another
-// VM has changed the records or the leader key, storeProgress ends the term.
-func (t *term) storeProgress(changes []planner.Change, records []record) {
+// storeProgress stores the given records, and retries until the outcome is known or the term ends. If another VM has
+// changed the records or the leader key, storeProgress ends the term.
+func (t *term) storeProgress(records []record) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stop := context.AfterFunc(t.role.Context(), cancel)
 	defer stop()
+	done := flushDone{revisions: map[string]store.Revision{}}
+	t.storeRecords(ctx, records, &done)
+	t.post(done)
+}
+
+// storeRecords adds the outcome of each record to done. If the store rejects the transaction for good, the records are
+// stored in smaller transactions, so that the record at fault holds up no other.
+func (t *term) storeRecords(ctx context.Context, records []record, done *flushDone) {
+	revisions, err := t.commitUntilKnown(ctx, records)
+	switch {
+	case err == nil:
+		for _, r := range records {
+			done.stored = append(done.stored, r.change)
+			done.revisions[r.key] = revisions[r.key]
+		}
+	case errors.Is(err, store.ErrInvalid) && len(records) > 1:
+		half := len(records) / 2
+		t.storeRecords(ctx, records[:half], done)
+		t.storeRecords(ctx, records[half:], done)
+	case errors.Is(err, store.ErrInvalid):
+		t.config.Log.Error("the store rejects a record", "key", records[0].key, "bytes", len(records[0].value),
+			"error", err.Error())
+		t.config.Metrics.recordRejected()
+		done.rejected = append(done.rejected, records[0].change)
+	default:
+		for _, r := range records {
+			done.open = append(done.open, r.change)
+		}
+	}
+}
+
+// commitUntilKnown repeats a transaction until its outcome is known or the term ends. It returns the new revisions of
+// the records, store.ErrInvalid, or another error if the term ends.
+func (t *term) commitUntilKnown(ctx context.Context, records []record) (map[string]store.Revision, error) {
+	err := ctx.Err()
 	for t.role.Valid() {
 		start := time.Now()
-		revisions, err := t.commit(ctx, records)
+		var revisions map[string]store.Revision
+		revisions, err = t.commit(ctx, records)
 		t.config.Metrics.flushed(time.Since(start))
-		if err == nil {
-			t.post(flushDone{changes: changes, revisions: revisions, stored: true})
-			return
+		if err == nil || errors.Is(err, store.ErrInvalid) {
+			return revisions, err
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
 			t.config.Log.Warn("resigning after a conflict while storing progress", "fence", t.role.Fence)
 			t.role.Resign()
-			return
+			return nil, err
 		}
-		t.config.Log.Warn("storing progress failed", "jobs", len(records), "error", err.Error())
+		t.config.Log.Warn("storing progress failed", "records", len(records), "error", err.Error())
 		wait.For(ctx, retryPause)
 	}
-	t.post(flushDone{changes: changes})
+	if err == nil {
+		err = context.Canceled
+	}
+	return nil, err
 }
 
-func (t *term) commit(ctx context.Context, records []record) (map[graph.ID]store.Revision, error) {
+func (t *term) commit(ctx context.Context, records []record) (map[string]store.Revision, error) {
 	transaction := store.Transaction{Conditions: []store.Condition{t.role.Condition()}}
 	for _, r := range records {
 		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: r.key, Revision: r.expected})
 		transaction.Puts = append(transaction.Puts, store.Put{Key: r.key, Value: r.value})
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout+transaction.TransferTime())
 	defer cancel()
 	revision, err := t.config.Store.Commit(ctx, transaction)
 	var conflict *store.ConflictError
@@ -94,9 +163,9 @@
 	if err != nil {
 		return nil, err
 	}
-	revisions := map[graph.ID]store.Revision{}
+	revisions := map[string]store.Revision{}
 	for _, r := range records {
-		revisions[r.id] = revision
+		revisions[r.key] = revision
 	}
 	return revisions, nil
 }
@@ -106,31 +175,35 @@
 // While the leader key is unchanged, no other VM writes the progress records.
 func resolveConflict(
 	conflict *store.ConflictError, fence store.Revision, records []record, err error,
-) (map[graph.ID]store.Revision, error) {
+) (map[string]store.Revision, error) {
 	if conflict.Item(election.Key).Revision != fence {
 		return nil, err
 	}
-	revisions := map[graph.ID]store.Revision{}
+	revisions := map[string]store.Revision{}
 	for _, r := range records {
 		item := conflict.Item(r.key)
 		if !bytes.Equal(item.Value, r.value) {
 			return nil, err
 		}
-		revisions[r.id] = item.Revision
+		revisions[r.key] = item.Revision
 	}
 	return revisions, nil
 }
 
 func (t *term) finishFlush(e flushDone, now time.Time) {
 	t.flushInFlight = false
-	if !e.stored {
-		t.planner.NotStored(e.changes)
-		return
+	for key, revision := range e.revisions {
+		t.revisions[key] = revision
+	}
+	for _, change := range e.open {
+		t.planner.NotStored(change)
 	}
-	for id, revision := range e.revisions {
-		t.revisions[id] = revision
+	for _, change := range e.rejected {
+		if !t.planner.Rejected(change, now) {
+			t.config.Log.Error("record given up", "job", change.Progress.ID, "part", change.Progress.Part)
+		}
 	}
-	for _, change := range e.changes {
+	for _, change := range e.stored {
 		if ended := t.planner.Stored(change, now); ended {
 			t.config.Metrics.jobEnded(change.Progress.State)
 			t.logEnd(change.Progress)
@@ -149,16 +222,13 @@
 // acknowledgeEnds acknowledges the ended runs whose effects on their jobs' progress are stored, so that the workers
 // discard these runs.
 func (t *term) acknowledgeEnds() {
-	stored := t.flushedObservations
-	if t.flushInFlight {
-		stored = 0
-	}
-	if !t.flushInFlight && !t.planner.HasChanges() {
-		stored = t.observations
+	if len(t.acks) == 0 {
+		return
 	}
+	stored := t.planner.StoredUpTo()
 	remaining := t.acks[:0]
 	for _, a := range t.acks {
-		if a.observation > stored {
+		if a.change > stored {
 			remaining = append(remaining, a)
 			continue
 		}
@@ -176,28 +246,45 @@
 		return
 	}
 	t.lastRemoval = now
-	const keysOfJob = 3
 	var removes []string
-	for _, id := range t.planner.Forget(now) {
-		delete(t.revisions, id)
-		removes = append(removes, JobKey(id), CancelKey(id), ProgressKey(id))
+	for _, job := range t.planner.Forget(now) {
+		keys := keysOf(job)
+		for _, key := range keys {
+			delete(t.revisions, key)
+		}
+		removes = append(removes, keys...)
 	}
-	for len(removes) > 0 {
-		n := min(len(removes), (store.MaxEntries-1)/keysOfJob*keysOfJob)
-		batch := removes[:n]
-		removes = removes[n:]
-		t.spawn(func() { t.removeKeys(ctx, batch) })
+	if len(removes) > 0 {
+		t.spawn(func() { t.removeKeys(ctx, removes) })
 	}
 }
 
+// keysOf returns the keys of all records of a job. The accepted job is the last one: as long as it is there, the next
+// leader knows of the others.
+func keysOf(job planner.Forgotten) []string {
+	keys := []string{CancelKey(job.ID)}
+	for part := job.Parts - 1; part >= 0; part-- {
+		keys = append(keys, partKey(job.ID, part))
+	}
+	return append(keys, JobKey(job.ID))
+}
+
+// removeKeys removes keys in the given order, in as many transactions as that needs.
 func (t *term) removeKeys(ctx context.Context, keys []string) {
+	for batch := range slices.Chunk(keys, store.MaxEntries-1) {
+		if err := t.removeBatch(ctx, batch); err != nil {
+			// The next leader loads the remaining jobs again and repeats the removal.
+			t.config.Log.Warn("removing old jobs failed", "keys", len(keys), "error", err.Error())
+			return
+		}
+	}
+}
+
+func (t *term) removeBatch(ctx context.Context, keys []string) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err := t.config.Store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{t.role.Condition()}, Removes: keys,
 	})
-	if err != nil {
-		// The next leader loads these jobs again and repeats the removal.
-		t.config.Log.Warn("removing old jobs failed", "keys", len(keys), "error", err.Error())
-	}
+	return err
 }
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -163,7 +163,6 @@
 }
 
 func (t *term) observe(e holdAnswered, now time.Time) {
-	t.observations++
 	t.planner.SetResponsive(e.observation.Worker, true)
 	t.planner.Observe(e.observation, now)
 	for i := range e.observation.Ended {
@@ -174,7 +173,7 @@
 	}
 	if e.lastEnd > 0 {
 		t.acks = append(t.acks, ack{
-			worker: e.observation.Worker, incarnation: e.observation.Incarnation, number: e.lastEnd, observation: t.observations,
+			worker: e.observation.Worker, incarnation: e.observation.Incarnation, number: e.lastEnd, change: t.planner.LastChange(),
 		})
 	}
 }
--- a/io/coordinator/keys.go
+++ b/io/coordinator/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -25,8 +26,16 @@
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id graph.ID) string { return cancelPrefix + string(id) }
 
-// ProgressKey returns the key of a job's progress.
-func ProgressKey(id graph.ID) string { return progressPrefix + string(id) }
+// ProgressKey returns the key of a job's progress, or of its first part if it has several.
+func ProgressKey(id graph.ID) string { return partKey(id, 0) }
+
+// partKey returns the key of a part of a job's progress.
+func partKey(id graph.ID, part int) string {
+	if part == 0 {
+		return progressPrefix + string(id)
+	}
+	return fmt.Sprintf("%s%s/%d", progressPrefix, id, part)
+}
 
 // DecodeJob decodes an accepted job.
 func DecodeJob(item store.Item) (*graph.Job, error) {
@@ -37,7 +46,7 @@
 	return job, nil
 }
 
-// DecodeProgress decodes a job's progress.
+// DecodeProgress decodes a job's progress, or a part of it.
 func DecodeProgress(item store.Item) (graph.Progress, error) {
 	var progress graph.Progress
 	if err := json.Unmarshal(item.Value, &progress); err != nil {
--- a/io/coordinator/metrics.go
+++ b/io/coordinator/metrics.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// recordRejected counts a record of progress that the store will never accept.
+func (m *Metrics) recordRejected() {
+	m.increment(`auburnstack_records_rejected_total`)
+}
+
 func (m *Metrics) startOrdered() {
 	m.increment(`auburnstack_starts_total`)
 }
--- a/io/coordinator/takeover.go
+++ b/io/coordinator/takeover.go
@@ -49,15 +49,17 @@
 		return 0, err
 	}
 	progress := map[graph.ID]graph.Progress{}
-	t.revisions = map[graph.ID]store.Revision{}
+	t.revisions = map[string]store.Revision{}
 	for _, item := range records.Items {
 		record, err := DecodeProgress(item)
 		if err != nil {
 			t.logSkippedRecord(err)
 			continue
 		}
-		progress[record.ID] = record
-		t.revisions[record.ID] = item.Revision
+		whole := progress[record.ID]
+		whole.Add(record)
+		progress[record.ID] = whole
+		t.revisions[item.Key] = item.Revision
 	}
 	t.restore(decodeInbox(inbox.Items, t.logSkippedRecord), progress)
 	if err := t.readWaves(ctx); err != nil {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -8,7 +8,6 @@
 
 	"auburnstack/core/domain"
 	"auburnstack/core/endpoint"
-	"auburnstack/core/graph"
 	"auburnstack/core/planner"
 	"auburnstack/core/roster"
 	"auburnstack/core/upkeep"
@@ -53,18 +52,14 @@
 	// thousands of workers leaves processor time for renewing the leader lease. The goroutines of the links use
 	// openingSlots.
 	openingSlots chan struct{}
-	// revisions holds the store revision of each job's progress record; 0 if the job has no such record.
-	revisions     map[graph.ID]store.Revision
+	// revisions holds the store revisions of the records of jobs' progress by their keys.
+	revisions     map[string]store.Revision
 	flushInFlight bool
 	// rosterReadAt is the time at which the registrations that the planner knows were read.
 	rosterReadAt time.Time
 	// history reads how registrations were removed before the first read of all registrations.
 	history *history
-	// observations is the number of hold replies that were passed to the planner. flushedObservations is the number of
-	// these replies, counted from the first, whose resulting changes are all stored or part of the transaction in
-	// flight.
-	observations, flushedObservations uint64
-	acks                              []ack
+	acks    []ack
 	// lastProbe holds, for each failure domain, the time of the last round of probes to its workers.
 	lastProbe   map[domain.Name]time.Time
 	lastRemoval time.Time
@@ -89,15 +84,15 @@
 	// incarnation is the incarnation of the worker to which number belongs.
 	incarnation roster.Incarnation
 	number      int64
-	// observation is the value of term.observations after the reply that listed the ended runs.
-	observation uint64
+	// change is the number of the last change of progress after the reply that listed the ended runs.
+	change uint64
 }
 
 func newTerm(config Config, role *election.Role) *term {
 	t := &term{
 		config: config, role: role, events: make(chan event, eventBuffer), pacer: newPacer(),
 		openingSlots: make(chan struct{}, maxOpeningLinks),
-		lastProbe:    map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[graph.ID]store.Revision{},
+		lastProbe:    map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[string]store.Revision{},
 	}
 	t.history = newHistory(t)
 	return t
@@ -128,7 +123,7 @@
 	if !loaded {
 		return
 	}
-	t.config.Log.Info("leadership taken over", "jobs", len(t.revisions), "took", time.Since(start).String(),
+	t.config.Log.Info("leadership taken over", "records", len(t.revisions), "took", time.Since(start).String(),
 		"fence", t.role.Fence)
 	t.orders = newOrders(ctx, t)
 	workers := rosterwatch.New(t.config.Store, t.config.Roster, t.config.Log, func(list, removed []roster.Worker) {
--- a/io/coordinator/upkeep.go
+++ b/io/coordinator/upkeep.go
@@ -173,9 +173,15 @@
 		if err == nil {
 			return true
 		}
-		if errors.As(err, &conflict) {
+		switch {
+		case errors.As(err, &conflict):
 			t.role.Resign()
 			return false
+		case errors.Is(err, store.ErrInvalid):
+			// Sent again, it would be rejected again, and hold up the reports on all other waves.
+			t.config.Log.Error("the store rejects a wave report", "wave", record.Number, "error", err.Error())
+			t.config.Metrics.recordRejected()
+			return true
 		}
 		t.config.Log.Warn("storing wave report failed", "wave", record.Number, "error", err.Error())
 		wait.For(t.role.Context(), retryPause)
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -67,17 +67,22 @@
 	codec   Codec
 	watcher *policywatch.Watcher
 	site    Site
-	metrics *Metrics
-	log     hclog.Logger
+	// valueLimit is the largest size of a value in the store in bytes; 0 means that there is no limit.
+	valueLimit int
+	metrics    *Metrics
+	log        hclog.Logger
 	// lastRelayed is the time at which another VM last answered a request that this VM relayed; nil if none has.
 	lastRelayed atomic.Pointer[time.Time]
 }
 
-// New returns an intake that reads configurations from the watcher and stores jobs in the store s.
+// New returns an intake that reads configurations from the watcher and stores jobs in the store s, whose values have at
+// most valueLimit bytes. 0 means that there is no limit.
 func New(
-	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, metrics *Metrics, log hclog.Logger,
+	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, valueLimit int, metrics *Metrics, log hclog.Logger,
 ) *Intake {
-	return &Intake{store: s, codec: codec, watcher: watcher, site: site, metrics: metrics, log: log}
+	return &Intake{
+		store: s, codec: codec, watcher: watcher, site: site, valueLimit: valueLimit, metrics: metrics, log: log,
+	}
 }
 
 // call is a request that is being handled, with its queue, client account and job as far as they have been determined.
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -108,6 +108,12 @@
 
 // newVM returns a VM that knows the newest configuration and has the given peers.
 func newVM(t *testing.T, peers ...relay.Peer) *vm {
+	t.Helper()
+	return newVMWithLimit(t, 0, peers...)
+}
+
+// newVMWithLimit is like newVM for a VM that knows the largest size of a value in the store.
+func newVMWithLimit(t *testing.T, valueLimit int, peers ...relay.Peer) *vm {
 	t.Helper()
 	v := &vm{service: memstore.New(1)}
 	v.service.Put("op/config", []byte("{}"))
@@ -116,7 +122,7 @@
 	v.watcher = policywatch.New(monitor, codec{}, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
 	t.Cleanup(v.watcher.Close)
 	time.Sleep(time.Second)
-	v.intake = intake.New(monitor, codec{}, v.watcher, siteWithPeers{peers: peers},
+	v.intake = intake.New(monitor, codec{}, v.watcher, siteWithPeers{peers: peers}, valueLimit,
 		intake.NewMetrics(metrics.NewSet()), hclog.NewNullLogger())
 	return v
 }
@@ -202,6 +208,23 @@
 	}
 }
 
+// TestJobTooLarge checks that a job that the store can't hold is rejected at once, and that a caller is not told to come
+// back with it, whether or not the VM knows the store's limit.
+func TestJobTooLarge(t *testing.T) {
+	for _, test := range []struct {
+		known int
+		want  answer.Kind
+	}{{100, answer.TooLarge}, {0, answer.Invalid}} {
+		synctest.Test(t, func(t *testing.T) {
+			v := newVMWithLimit(t, test.known)
+			v.service.SetValueLimit(100)
+			begun := time.Now()
+			qt.Check(t, v.call("POST", false).Kind, qt.Equals, test.want)
+			qt.Check(t, time.Since(begun) < 100*time.Millisecond, qt.IsTrue)
+		})
+	}
+}
+
 // TestUnknownOutcomeOfOldConfiguration is the same for a VM that relays its requests because another VM has answered
 // one of them, perhaps according to a newer configuration.
 func TestUnknownOutcomeOfOldConfiguration(t *testing.T) {
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
 	}
+	if i.valueLimit > 0 && len(value) > i.valueLimit {
+		return answer.Answer{Kind: answer.TooLarge, Reason: "the job is larger than the store can hold"}
+	}
 	key := coordinator.JobKey(job.ID)
 	return i.commit(ctx, c, store.Transaction{
 		Conditions: []store.Condition{{Key: i.watcher.Key(), Revision: c.snapshot.Revision}, {Key: key}},
@@ -114,6 +117,8 @@
 				return a
 			}
 			return i.retryWithNewPolicy(ctx, c, conflict)
+		case errors.Is(err, store.ErrInvalid):
+			return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
 		case errors.Is(err, store.ErrRefused) && !c.uncertain:
 			return i.relayOrFallback(ctx, c, i.refusal(err.Error()))
 		case !errors.Is(err, store.ErrRefused):
@@ -130,7 +135,7 @@
 }
 
 func (i *Intake) tryCommit(ctx context.Context, t store.Transaction) (store.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout+t.TransferTime())
 	defer cancel()
 	return i.store.Commit(ctx, t)
 }
--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -39,6 +39,9 @@
 	testHost    = "site.example"
 	urgentQueue = "/urgent/"
 	batchQueue  = "/batch/"
+	// valueLimit is the largest size of a value in the store, in bytes. It is far below that of the platform, so that jobs
+	// of a few thousand tasks show values that grow with the number of tasks.
+	valueLimit = 64 << 10
 	// advisedQueue accepts jobs whose tasks start only with a ticket of the adviser, the service that knows on which
 	// workers they may run.
 	advisedQueue = "/advised/"
@@ -241,6 +244,7 @@
 		network: &network{nodes: map[netip.AddrPort]*Node{}, cut: map[netip.AddrPort]bool{}},
 		log:     hclog.New(&hclog.LoggerOptions{Output: io.Discard}),
 	}
+	f.store.SetValueLimit(valueLimit)
 	f.putPolicy(1)
 	for i := range workers {
 		name := endpoint.Name(fmt.Sprintf("worker-%02d", i))
@@ -329,6 +333,7 @@
 			Policy: policyCodec{testCodec{"op/"}}, Roster: testCodec{"servers/"},
 			Jobs: jobCodec{}, Upkeep: upkeepCodec{},
 		},
+		ValueLimit: valueLimit,
 		Planner: planner.Settings{
 			LeaseLimit: 10 * time.Second, RegistrationInterval: memworker.RegistrationInterval, StopTime: 400 * time.Millisecond,
 			RemoteFactor: 3, EarlyStart: 250 * time.Millisecond, RetainFinal: time.Hour,
@@ -442,6 +447,7 @@
 func (f *fleet) checkNoViolations() {
 	f.t.Helper()
 	qt.Assert(f.t, strings.Join(f.workers.Violations(), "\n"), qt.Equals, "")
+	qt.Assert(f.t, f.store.Rejections(), qt.Equals, 0)
 }
 
 // oneStep returns the steps of a job that has a single step with identical tasks.
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -57,6 +57,8 @@
 	Inventory inventory.Service
 	Codecs    Codecs
 	Planner   planner.Settings
+	// ValueLimit is the largest size of a value of Store in bytes; 0 means that there is no limit.
+	ValueLimit int
 	// ElectionDelay is the time that the VM waits before it tries to become leader, so that VMs with more resources can
 	// become leader first.
 	ElectionDelay time.Duration
@@ -94,7 +96,8 @@
 	n.coordinator = coordinator.New(coordinator.Config{
 		Store: n.store, Revisions: revisions, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
 		Policy: func() *policywatch.Snapshot { return n.watcher.Current() }, Name: config.Name,
-		Adviser: config.Adviser, Inventory: config.Inventory, Upkeep: config.Codecs.Upkeep,
+		ValueLimit: config.ValueLimit,
+		Adviser:    config.Adviser, Inventory: config.Inventory, Upkeep: config.Codecs.Upkeep,
 		Metrics: coordinator.NewMetrics(config.Metrics), Log: config.Log,
 	})
 	ready := make(chan struct{})
@@ -104,7 +107,7 @@
 			<-ready
 			n.policyAdopted(snapshot, fromStore)
 		})
-	n.intake = intake.New(n.store, config.Codecs.Jobs, n.watcher, n,
+	n.intake = intake.New(n.store, config.Codecs.Jobs, n.watcher, n, config.ValueLimit,
 		intake.NewMetrics(config.Metrics), config.Log)
 	n.registrar = newRegistrar(n.store, n.self, config.Log)
 	n.candidate = election.New(n.store, election.Leader{
--- a/io/site/trouble_test.go
+++ b/io/site/trouble_test.go
@@ -193,9 +193,11 @@
 	steps[0].Needs = resources.Amounts{CPU: 8, Memory: 8}
 	id := f.submit(batchQueue, steps, memworker.Plan{Work: smallWork})
 	f.troubled.innocent = append(f.troubled.innocent, id)
-	for f.workers.Running(id) < tasks {
+	deadline := time.Now().Add(completionTimeout)
+	for f.workers.Running(id) < tasks && time.Now().Before(deadline) {
 		time.Sleep(10 * time.Millisecond)
 	}
+	qt.Check(f.t, f.workers.Running(id), qt.Equals, tasks)
 }
 
 // load submits a job with more tasks than the workers can run at a time every half second.
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -66,6 +66,19 @@
 	Removes    []string
 }
 
+// slowestLink is the bandwidth of the slowest network links of VMs, in bytes of values a second: 10 Mbit/s, less the
+// overhead of the encoding.
+const slowestLink = 900_000
+
+// TransferTime returns the time that the values of the transaction take on a slow link.
+func (t *Transaction) TransferTime() time.Duration {
+	bytes := 0
+	for _, p := range t.Puts {
+		bytes += len(p.Value)
+	}
+	return time.Duration(bytes) * time.Second / slowestLink
+}
+
 // MaxEntries is the maximum total number of conditions, puts and removes in one transaction.
 const MaxEntries = 32
 
@@ -74,6 +87,9 @@
 var (
 	// ErrRefused reports a call that had no effect and will have none.
 	ErrRefused = errors.New("the store has refused the call")
+	// ErrInvalid reports a call that the store will never carry out, however often it is sent, such as one with a value
+	// that is too large. It had no effect.
+	ErrInvalid = errors.New("the store rejects the call for good")
 	// ErrUnanswered reports a call without an answer. The call may have taken effect.
 	ErrUnanswered = errors.New("the store has not answered the call")
 	// ErrNotFound reports a key that is absent.
--- a/standin/memstore/service.go
+++ b/standin/memstore/service.go
@@ -34,6 +34,9 @@
 	// watchesStalled makes watches return no changes.
 	watchesStalled bool
 	faults         Faults
+	// valueLimit is the largest size of a value in bytes; 0 means no limit. rejections counts the transactions with larger
+	// ones.
+	valueLimit, rejections int
 }
 
 // lease is a lease with its duration and the time at which it expires.
@@ -110,6 +113,20 @@
 	return s.faults.Down
 }
 
+// SetValueLimit sets the largest size of a value in bytes; 0, as at first, means that there is no limit.
+func (s *Service) SetValueLimit(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.valueLimit = limit
+}
+
+// Rejections returns the number of transactions that were rejected because of a value that was too large.
+func (s *Service) Rejections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejections
+}
+
 // Keys returns the keys that begin with the given prefix, in alphabetical order.
 func (s *Service) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -195,6 +212,10 @@
 		return 0, errors.WithStack(conflict)
 	}
 	for _, p := range t.Puts {
+		if s.valueLimit > 0 && len(p.Value) > s.valueLimit {
+			s.rejections++
+			return 0, store.ErrInvalid
+		}
 		if _, alive := s.leases[p.Lease]; p.Lease != 0 && !alive {
 			return 0, store.ErrLeaseEnded
 		}
