--- a/core/graph/progress.go
+++ b/core/graph/progress.go
@@ -42,11 +42,11 @@
 
 // Add adds another part of the same job, in any order.
 func (p *Progress) Add(part Progress) {
-	units := append(p.Units, part.Units...)
+	p.ID, p.Parts = part.ID, part.Parts
+	p.Units = append(p.Units, part.Units...)
 	if part.Part == 0 {
-		*p = part
+		p.State, p.Reason, p.Ended = part.State, part.Reason, part.Ended
 	}
-	p.ID, p.Units = part.ID, units
 }
 
 // UnitProgress is the stored progress of a gang, or of one task outside a gang.
--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// observeLateEnd handles the end of a run that counts as lost already, because its worker was silent for longer than its
-// lease. That was a guess: if the run has finished its task, nothing needs to run again. A newer run is stopped.
+// observeLateEnd handles the end of a run that counts as lost already, because its worker was silent for longer than
+// its lease. That was a guess: if the run has finished its task, nothing needs to run again. A newer run is stopped.
 func (p *Planner) observeLateEnd(end *EndedRun, now time.Time) {
 	j, known := p.jobs[end.Task.Job]
 	if !known || j.state.Final() || end.Kind != EndDone {
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -130,9 +130,9 @@
 	}
 }
 
-// Rejected handles a change that the store will never accept. A job whose progress cannot be stored is given up: none of
-// its tasks may start. The record that TakeChanges returns next has no units. Rejected returns false if the store has
-// rejected such a record, too; it is not stored then.
+// Rejected handles a change that the store will never accept. A job whose progress cannot be stored is given up: none
+// of its tasks may start. The record that TakeChanges returns next has no units. Rejected returns false if the store
+// has rejected such a record, too; it is not stored then.
 func (p *Planner) Rejected(change Change, now time.Time) bool {
 	changed := p.partOf(&change)
 	if changed == nil {
--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -59,9 +59,9 @@
 	t.spawn(func() { t.storeProgress(records) })
 }
 
-// encodeProgress encodes a record for a store with the given largest size of a value, 0 for no limit. It leaves out the longest
-// checkpoints if the record takes more than half of that, so that tasks may start from an older state after a change of
-// leader.
+// encodeProgress encodes a record for a store with the given largest size of a value, 0 for no limit. If the record
+// takes more than half of that, encodeProgress leaves out the longest checkpoints: tasks may start from an older
+// state after a change of leader.
 func encodeProgress(progress graph.Progress, limit int) ([]byte, error) {
 	value, err := json.Marshal(progress)
 	if err != nil || limit == 0 || len(value) <= limit/2 {
@@ -272,7 +272,7 @@
 // removeKeys removes keys in the given order, in as many transactions as that needs.
 func (t *term) removeKeys(ctx context.Context, keys []string) {
 	for batch := range slices.Chunk(keys, store.MaxEntries-1) {
-		if err := t.removeBatch(ctx, batch); err != nil {
+		if err := t.remove(ctx, []store.Condition{t.role.Condition()}, batch); err != nil {
 			// The next leader loads the remaining jobs again and repeats the removal.
 			t.config.Log.Warn("removing old jobs failed", "keys", len(keys), "error", err.Error())
 			return
@@ -280,11 +280,10 @@
 	}
 }
 
-func (t *term) removeBatch(ctx context.Context, keys []string) error {
+// remove removes keys under the given conditions.
+func (t *term) remove(ctx context.Context, conditions []store.Condition, keys []string) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := t.config.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{t.role.Condition()}, Removes: keys,
-	})
+	_, err := t.config.Store.Commit(ctx, store.Transaction{Conditions: conditions, Removes: keys})
 	return err
 }
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -173,7 +173,8 @@
 	}
 	if e.lastEnd > 0 {
 		t.acks = append(t.acks, ack{
-			worker: e.observation.Worker, incarnation: e.observation.Incarnation, number: e.lastEnd, change: t.planner.LastChange(),
+			worker: e.observation.Worker, incarnation: e.observation.Incarnation, number: e.lastEnd,
+			change: t.planner.LastChange(),
 		})
 	}
 }
--- a/io/coordinator/keys.go
+++ b/io/coordinator/keys.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"auburnstack/core/account"
 	"auburnstack/core/graph"
 	"auburnstack/io/store"
 )
@@ -18,6 +20,8 @@
 	jobPrefix      = InboxPrefix + "job/"
 	cancelPrefix   = InboxPrefix + "cancel/"
 	progressPrefix = "auburnstack/progress/"
+	// withdrawnPrefix is the prefix of the keys of jobs that were canceled before they were accepted.
+	withdrawnPrefix = "auburnstack/withdrawn/"
 )
 
 // JobKey returns the key of an accepted job.
@@ -26,6 +30,42 @@
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id graph.ID) string { return cancelPrefix + string(id) }
 
+// WithdrawnKey returns the key that says that a job was canceled before it was accepted. A submission takes effect only
+// if the key is absent, or does not name the submission's account.
+func WithdrawnKey(id graph.ID) string { return withdrawnPrefix + string(id) }
+
+// Withdrawal is the value of a WithdrawnKey.
+type Withdrawal struct {
+	// Accounts are the client accounts that have canceled the job. Anonymous is set if it was canceled in a queue that
+	// asks for no key.
+	Accounts  []account.Name
+	Anonymous bool `json:",omitempty"`
+}
+
+// Add returns the withdrawal with that of another caller.
+func (w Withdrawal) Add(name account.Name, anonymous bool) Withdrawal {
+	if !slices.Contains(w.Accounts, name) {
+		w.Accounts = append(slices.Clone(w.Accounts), name)
+	}
+	w.Anonymous = w.Anonymous || anonymous
+	return w
+}
+
+// Concerns reports whether a submission of the account is withdrawn.
+func (w Withdrawal) Concerns(name account.Name, anonymous bool) bool {
+	return slices.Contains(w.Accounts, name) || w.Anonymous && anonymous
+}
+
+// DecodeWithdrawal decodes the value of a WithdrawnKey; an absent one names no account.
+func DecodeWithdrawal(item store.Item) (Withdrawal, error) {
+	var w Withdrawal
+	if item.Revision == 0 {
+		return w, nil
+	}
+	err := json.Unmarshal(item.Value, &w)
+	return w, errors.WithMessagef(err, "the record %s can't be read", item.Key)
+}
+
 // ProgressKey returns the key of a job's progress, or of its first part if it has several.
 func ProgressKey(id graph.ID) string { return partKey(id, 0) }
 
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -134,6 +134,7 @@
 	defer inbox.Close()
 	defer t.closeLinks()
 	t.spawn(func() { t.watchMachines(ctx) })
+	t.spawn(func() { t.removeWithdrawn(ctx) })
 	t.control(ctx)
 }
 
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -78,7 +78,8 @@
 // New returns an intake that reads configurations from the watcher and stores jobs in the store s, whose values have at
 // most valueLimit bytes. 0 means that there is no limit.
 func New(
-	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, valueLimit int, metrics *Metrics, log hclog.Logger,
+	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, valueLimit int, metrics *Metrics,
+	log hclog.Logger,
 ) *Intake {
 	return &Intake{
 		store: s, codec: codec, watcher: watcher, site: site, valueLimit: valueLimit, metrics: metrics, log: log,
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -37,7 +37,9 @@
 func (codec) Decode(map[string]store.Item) (*policy.Policy, error) {
 	return &policy.Policy{
 		Version: 1, Queues: []policy.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}},
-		Accounts: []policy.Account{{Name: "a", Keys: []policy.Key{policy.Digest("key")}}},
+		Accounts: []policy.Account{
+			{Name: "a", Keys: []policy.Key{policy.Digest("key")}}, {Name: "b", Keys: []policy.Key{policy.Digest("other")}},
+		},
 	}, nil
 }
 
@@ -104,6 +106,8 @@
 	client  *memstore.Client
 	watcher *policywatch.Watcher
 	intake  *intake.Intake
+	// deadline is the time within which callers want an answer.
+	deadline time.Duration
 }
 
 // newVM returns a VM that knows the newest configuration and has the given peers.
@@ -115,7 +119,7 @@
 // newVMWithLimit is like newVM for a VM that knows the largest size of a value in the store.
 func newVMWithLimit(t *testing.T, valueLimit int, peers ...relay.Peer) *vm {
 	t.Helper()
-	v := &vm{service: memstore.New(1)}
+	v := &vm{service: memstore.New(1), deadline: 2800 * time.Millisecond}
 	v.service.Put("op/config", []byte("{}"))
 	v.client = v.service.Client()
 	monitor := store.NewMonitor(v.client)
@@ -129,9 +133,14 @@
 
 // call handles a caller's request, or one that another VM has relayed.
 func (v *vm) call(method string, relayed bool) answer.Answer {
-	ctx, cancel := context.WithTimeout(context.Background(), 2800*time.Millisecond)
+	return v.callWith("key", method, relayed)
+}
+
+// callWith is like call for the account with the given key.
+func (v *vm) callWith(key, method string, relayed bool) answer.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), v.deadline)
 	defer cancel()
-	return v.intake.Handle(ctx, relay.Request{Method: method, Host: "h", Path: "/q/" + jobID, Key: "key"}, relayed)
+	return v.intake.Handle(ctx, relay.Request{Method: method, Host: "h", Path: "/q/" + jobID, Key: key}, relayed)
 }
 
 // TestRejectionAfterLostAnswer checks that a caller is not told that its job was rejected when the answer to the store's
--- a/io/intake/relay.go
+++ b/io/intake/relay.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// relayOnce relays the request to the other VMs in turn, unless another VM has already relayed it to this VM. The second
-// result is false if no VM has given a final answer.
+// relayOnce relays the request to the other VMs in turn, unless another VM has already relayed it to this VM. The
+// second result is false if no VM has given a final answer.
 func (i *Intake) relayOnce(ctx context.Context, c *call) (answer.Answer, bool) {
 	if c.relayed || ctx.Err() != nil {
 		return answer.Answer{}, false
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -36,13 +36,43 @@
 	if i.valueLimit > 0 && len(value) > i.valueLimit {
 		return answer.Answer{Kind: answer.TooLarge, Reason: "the job is larger than the store can hold"}
 	}
-	key := coordinator.JobKey(job.ID)
-	return i.commit(ctx, c, store.Transaction{
-		Conditions: []store.Condition{{Key: i.watcher.Key(), Revision: c.snapshot.Revision}, {Key: key}},
-		Puts:       []store.Put{{Key: key, Value: value}},
+	return i.storeJob(ctx, c, job, value, 0)
+}
+
+// storeJob stores a new job, unless its account has canceled it already. withdrawn is the revision of the job's
+// withdrawn key as far as it is known: a key that names other accounts only does not concern the job.
+func (i *Intake) storeJob(
+	ctx context.Context, c *call, job *graph.Job, value []byte, withdrawn store.Revision,
+) answer.Answer {
+	jobKey, withdrawnKey := coordinator.JobKey(job.ID), coordinator.WithdrawnKey(job.ID)
+	var again bool
+	a := i.commit(ctx, c, store.Transaction{
+		Conditions: []store.Condition{
+			{Key: i.watcher.Key(), Revision: c.snapshot.Revision}, {Key: jobKey}, {Key: withdrawnKey, Revision: withdrawn},
+		},
+		Puts: []store.Put{{Key: jobKey, Value: value}},
 	}, func(conflict *store.ConflictError) (answer.Answer, bool) {
-		return i.answerDuplicate(job, conflict.Item(key))
+		if a, duplicate := i.answerDuplicate(job, conflict.Item(jobKey)); duplicate {
+			return a, true
+		}
+		item := conflict.Item(withdrawnKey)
+		if item.Revision == withdrawn {
+			return answer.Answer{}, false
+		}
+		withdrawal, err := coordinator.DecodeWithdrawal(item)
+		if err != nil {
+			return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}, true
+		}
+		if withdrawal.Concerns(job.ClientAccount, c.queue.Anonymous) {
+			return answer.Answer{Kind: answer.NoJob, Reason: "the job was canceled before it was accepted"}, true
+		}
+		again, withdrawn = true, item.Revision
+		return answer.Answer{}, true
 	})
+	if again {
+		return i.storeJob(ctx, c, job, value, withdrawn)
+	}
+	return a
 }
 
 // answerDuplicate answers a submission whose ID belongs to a stored job already: it confirms the submission if the
@@ -62,40 +92,6 @@
 	return answer.Answer{Kind: answer.Done, Reason: "the job was accepted before"}, true
 }
 
-// cancel stores the cancellation of a job. The leader reads it from the store and stops the job.
-func (i *Intake) cancel(ctx context.Context, c *call) answer.Answer {
-	item, err := i.get(ctx, coordinator.JobKey(c.id))
-	if errors.Is(err, store.ErrNotFound) {
-		return answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
-	}
-	if err != nil {
-		return i.relayOrFallback(ctx, c, i.refusal(err.Error()))
-	}
-	job, err := coordinator.DecodeJob(item)
-	if err != nil {
-		return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
-	}
-	if job.ClientAccount != c.account && !c.queue.Anonymous {
-		return answer.Answer{Kind: answer.Forbidden, Reason: "the job belongs to another account"}
-	}
-	key := coordinator.CancelKey(c.id)
-	return i.commit(ctx, c, store.Transaction{
-		Conditions: []store.Condition{
-			{Key: i.watcher.Key(), Revision: c.snapshot.Revision}, {Key: item.Key, Revision: item.Revision}, {Key: key},
-		},
-		Puts: []store.Put{{Key: key, Value: []byte(c.account)}},
-	}, func(conflict *store.ConflictError) (answer.Answer, bool) {
-		switch {
-		case conflict.Item(key).Revision != 0:
-			return answer.Answer{Kind: answer.Done, Reason: "the job was canceled before"}, true
-		case conflict.Item(item.Key).Revision == 0:
-			return answer.Answer{Kind: answer.NoJob, Reason: "the job was removed"}, true
-		default:
-			return answer.Answer{}, false
-		}
-	})
-}
-
 // commit repeats a transaction until its outcome is known or the context ends. Once one attempt has ended with an
 // unknown outcome, a refusal of a later attempt no longer proves that the transaction had no effect, so commit makes
 // further attempts. The function resolveConflict returns the answer to a conflict; its second result is false when the
