--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -9,6 +9,7 @@
 
 	"auburnstack/core/account"
 	"auburnstack/core/domain"
+	"auburnstack/core/resources"
 	"auburnstack/core/upkeep"
 )
 
@@ -86,6 +87,11 @@
 	Keys []Key
 	// Guaranteed is the number of accelerators that are guaranteed to the account's jobs of priority 0 at any time.
 	Guaranteed int64
+	// Weight is the account's share of a service when not everything fits, relative to the weights of other accounts. 0
+	// means that none is configured.
+	Weight float64 `json:",omitempty"`
+	// Limit holds the largest amounts that all runs of the account may have together; 0 means no limit for that resource.
+	Limit resources.Amounts `json:",omitzero"`
 }
 
 // Limits holds the maximum sizes and times of the requests that callers send.
