--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -30,6 +30,8 @@
 	// Unread holds an error message for each part of the configuration that could not be read. Such parts are left out
 	// of the policy; all other parts apply.
 	Unread []string `json:",omitempty"`
+	// Warnings holds a message for each part of the configuration that applies but is probably a mistake.
+	Warnings []string `json:",omitempty"`
 }
 
 // Queue describes a queue, which accepts the jobs that callers submit under one host and path prefix.
@@ -94,6 +96,11 @@
 	Limit resources.Amounts `json:",omitzero"`
 }
 
+// Shares reports whether the account has a limit or a weight.
+func (a *Account) Shares() bool {
+	return a.Weight != 0 || a.Limit != resources.Amounts{}
+}
+
 // Limits holds the maximum sizes and times of the requests that callers send.
 type Limits struct {
 	HeaderBytes   int
@@ -163,6 +170,26 @@
 	return 0
 }
 
+// Limit returns the largest amounts that all runs of an account may have together; 0 means no limit for that resource.
+func (p *Policy) Limit(name account.Name) resources.Amounts {
+	for i := range p.Accounts {
+		if p.Accounts[i].Name == name {
+			return p.Accounts[i].Limit
+		}
+	}
+	return resources.Amounts{}
+}
+
+// SharesService reports whether any account has a limit or a weight.
+func (p *Policy) SharesService() bool {
+	for i := range p.Accounts {
+		if p.Accounts[i].Shares() {
+			return true
+		}
+	}
+	return false
+}
+
 // IsOut reports whether operators have taken a failure domain out of service, so that nothing may start there.
 func (p *Policy) IsOut(name domain.Name) bool {
 	for _, out := range p.Out {
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -172,6 +172,9 @@
 		n.config.Log.Error("invalid part of the configuration skipped",
 			"version", snapshot.Policy.Version, "error", mistake)
 	}
+	for _, warning := range snapshot.Policy.Warnings {
+		n.config.Log.Warn("doubtful part of the configuration", "version", snapshot.Policy.Version, "warning", warning)
+	}
 	n.coordinator.PolicyChanged()
 	n.members.requestAnnouncement()
 }
