Configuration watch: an invalid configuration no longer stops submissions and evacuations

Cause: a submission is stored on condition that the configuration has not changed. With an invalid newest configuration the VMs kept the revision of the earlier one, so every submission was refused, and changes of the other operators' keys did not apply. Change: the earlier policy is adopted under the revision of the invalid configuration, together with the newest evacuations and waves. The rejection is logged once for each revision. Result: TestRejectedConfiguration and TestRejectedConfigurationOfAnotherCall fail on the earlier code and pass now. Open: a VM that has missed a valid configuration before the invalid one keeps the one before it; a site of which all VMs have restarted knows none until the configuration is corrected.

--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -1,8 +1,10 @@
 // Package policywatch watches the operators' configuration in the store, and takes the configuration from other VMs
-// when the store does not answer. It never replaces an adopted configuration with an older one.
+// when the store does not answer. It never replaces an adopted configuration with an older one. When the newest
+// configuration is invalid, the earlier policy stays in force under the revision of the invalid one.
 package policywatch
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +69,8 @@
 	// uses items.
 	items  map[string]store.Item
 	mirror *mirror.Mirror
+	// valid is the last item with a configuration that could be decoded. Only the goroutine of the mirror uses valid.
+	valid store.Item
 }
 
 // New starts to watch the configuration. onAdopted is called after each adoption of a newer configuration.
@@ -123,20 +127,46 @@
 }
 
 // publish decodes the mirrored items, which hold the operators' keys as of the store revision at, and adopts the
-// resulting configuration if it is newer. If it cannot be decoded, the earlier configuration stays in force.
+// resulting configuration if it is newer.
 func (w *Watcher) publish(at store.Revision) {
 	item, found := w.items[w.codec.Key()]
 	if !found {
 		return
 	}
-	decoded, err := w.codec.Decode(w.items)
-	if err != nil {
-		w.log.Error("configuration rejected", "revision", item.Revision, "error", err.Error())
+	decoded := w.decodeItems(item)
+	if decoded == nil {
 		return
 	}
 	w.adopt(&Snapshot{Policy: decoded, Revision: item.Revision, ChangedAt: at, ConfirmedAt: time.Now()}, true)
 }
 
+// decodeItems decodes the mirrored items. If the configuration, which the parameter item holds, is invalid, decodeItems
+// uses the last valid one instead, so that changes of the other keys still apply. It returns nil if there is none.
+func (w *Watcher) decodeItems(item store.Item) *policy.Policy {
+	decoded, err := w.codec.Decode(w.items)
+	if err == nil {
+		w.valid = item
+		return decoded
+	}
+	w.logRejected(item, err)
+	if w.valid.Revision == 0 {
+		return w.current.Load().Policy
+	}
+	items := maps.Clone(w.items)
+	items[item.Key] = w.valid
+	if decoded, err = w.codec.Decode(items); err != nil {
+		return w.current.Load().Policy
+	}
+	return decoded
+}
+
+// logRejected logs an invalid configuration, unless it was logged before: the policy in force then has its revision.
+func (w *Watcher) logRejected(item store.Item, err error) {
+	if current := w.current.Load(); current.Policy == nil || item.Revision > current.Revision {
+		w.log.Error("configuration rejected", "revision", item.Revision, "error", err.Error())
+	}
+}
+
 // AdoptItem adopts a configuration that a call other than the watch has returned, if it is newer. The parts that the
 // operators write under other keys, Out and Waves, are kept from the current configuration.
 func (w *Watcher) AdoptItem(item store.Item) {
@@ -145,11 +175,11 @@
 		return
 	}
 	decoded, err := w.codec.Decode(map[string]store.Item{item.Key: item})
-	if err != nil {
-		w.log.Error("configuration rejected", "revision", item.Revision, "error", err.Error())
-		return
-	}
-	if current.Policy != nil {
+	switch {
+	case err != nil:
+		w.logRejected(item, err)
+		decoded = current.Policy
+	case current.Policy != nil:
 		decoded.Out, decoded.Waves = current.Policy.Out, current.Policy.Waves
 	}
 	w.adopt(&Snapshot{
