Submission: reject a job that can never fit the limit of its account

Cause: a job with a task or gang above its account's maxCount would be accepted and wait for good. Change: Job.CheckLimit compares each task or whole gang, fillers with all that they need, with the limit of the account in the configuration that the submission is checked against. The answer is Invalid with the resource, the need and the limit. A repeated submission of a job that was accepted under a higher limit is still confirmed, and a VM whose configuration may be outdated passes the submission on.

--- a/core/graph/fit.go
+++ b/core/graph/fit.go
@@ -3,12 +3,16 @@
 import (
 	"github.com/pkg/errors"
 
+	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 )
 
 // ErrImpossible reports a job that does not fit the workers of its service, even if nothing else runs on them.
 var ErrImpossible = errors.New("no workers can hold the job")
 
+// ErrOverLimit reports a job that does not fit the limit of its client account, even if nothing else of it runs.
+var ErrOverLimit = errors.New("the limit of the account is too small for the job")
+
 // absentFactor allows for workers that are currently absent: a gang is impossible only if it has more than absentFactor
 // times as many tasks as the workers in the sizes passed to CheckFit can hold together.
 const absentFactor = 2
@@ -33,6 +37,40 @@
 	return nil
 }
 
+// CheckLimit returns ErrOverLimit if a step of the job has a task, or a gang, that needs more than the given limit of its
+// account. A limit of 0 is none. Filler tasks count with all that they need.
+func (j *Job) CheckLimit(limit resources.Amounts) error {
+	if limit == (resources.Amounts{}) {
+		return nil
+	}
+	for i := range j.Steps {
+		if err := j.Steps[i].checkLimit(limit); err != nil {
+			return errors.WithMessagef(err, "step %d", i)
+		}
+	}
+	return nil
+}
+
+func (s *Step) checkLimit(limit resources.Amounts) error {
+	needs, unit := s.Needs, "a task"
+	if s.Gang {
+		needs, unit = s.Needs.Times(s.Tasks), "the gang"
+	}
+	for _, kind := range []struct {
+		name        string
+		need, limit int64
+	}{
+		{"thousandths of a core", needs.CPU, limit.CPU},
+		{"MB of memory", needs.Memory, limit.Memory},
+		{"accelerators", needs.Accelerators, limit.Accelerators},
+	} {
+		if kind.limit > 0 && kind.need > kind.limit {
+			return errors.WithMessagef(ErrOverLimit, "%s needs %d %s, the limit is %d", unit, kind.need, kind.name, kind.limit)
+		}
+	}
+	return nil
+}
+
 // capacity counts the tasks of a step that the workers of a service can hold at a time if nothing else runs on them.
 // The first result is false if sizes has no entry for the service.
 func (s *Step) capacity(service string, sizes []roster.Size) (bool, int) {
--- a/core/graph/fit_test.go
+++ b/core/graph/fit_test.go
@@ -43,3 +43,30 @@
 		}
 	}
 }
+
+// TestCheckLimit guards against accepting a job that waits for good because its account's limit is too small for a single
+// task or gang, and against refusing one whose tasks fit one after the other.
+func TestCheckLimit(t *testing.T) {
+	limit := resources.Amounts{CPU: 8000, Accelerators: 16}
+	for _, test := range []struct {
+		name string
+		step Step
+		over bool
+	}{
+		{"fits exactly", Step{Tasks: 2, Gang: true, Needs: resources.Amounts{CPU: 4000, Accelerators: 8}}, false},
+		{"many tasks one after the other", Step{Tasks: 99, Needs: resources.Amounts{Accelerators: 16}}, false},
+		{"a task", Step{Tasks: 1, Needs: resources.Amounts{Accelerators: 17}}, true},
+		{"a gang", Step{Tasks: 3, Gang: true, Needs: resources.Amounts{Accelerators: 8}}, true},
+		{"a gang of the largest size", Step{Tasks: MaxTasks, Gang: true, Needs: resources.Amounts{CPU: MaxAmount}}, true},
+		{"a filler task counts with its CPU", Step{Tasks: 1, Fills: true, Needs: resources.Amounts{CPU: 8001}}, true},
+		{"a resource without limit", Step{Tasks: 1, Needs: resources.Amounts{Memory: MaxAmount}}, false},
+	} {
+		job := &Job{Steps: []Step{{Tasks: 1}, test.step}}
+		if test.over {
+			qt.Check(t, job.CheckLimit(limit), qt.ErrorIs, ErrOverLimit, qt.Commentf(test.name))
+		} else {
+			qt.Check(t, job.CheckLimit(limit), qt.IsNil, qt.Commentf(test.name))
+		}
+		qt.Check(t, job.CheckLimit(resources.Amounts{}), qt.IsNil, qt.Commentf(test.name))
+	}
+}
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -118,15 +118,27 @@
 
 // newVMWithLimit is like newVM for a VM that knows the largest size of a value in the store.
 func newVMWithLimit(t *testing.T, valueLimit int, peers ...relay.Peer) *vm {
+	t.Helper()
+	return newVMWithCodec(t, codec{}, valueLimit, peers...)
+}
+
+// vmCodec decodes configurations and submissions.
+type vmCodec interface {
+	policywatch.Codec
+	intake.Codec
+}
+
+// newVMWithCodec is like newVMWithLimit for a VM with the given codec.
+func newVMWithCodec(t *testing.T, c vmCodec, valueLimit int, peers ...relay.Peer) *vm {
 	t.Helper()
 	v := &vm{service: memstore.New(1), deadline: 2800 * time.Millisecond}
 	v.service.Put("op/config", []byte("{}"))
 	v.client = v.service.Client()
 	monitor := store.NewMonitor(v.client)
-	v.watcher = policywatch.New(monitor, codec{}, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
+	v.watcher = policywatch.New(monitor, c, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
 	t.Cleanup(v.watcher.Close)
 	time.Sleep(time.Second)
-	v.intake = intake.New(monitor, codec{}, v.watcher, siteWithPeers{peers: peers}, valueLimit,
+	v.intake = intake.New(monitor, c, v.watcher, siteWithPeers{peers: peers}, valueLimit,
 		intake.NewMetrics(metrics.NewSet()), hclog.NewNullLogger())
 	return v
 }
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -29,6 +29,9 @@
 	if err := job.CheckFit(c.queue.Service, i.site.Sizes()); err != nil {
 		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
 	}
+	if err := job.CheckLimit(c.snapshot.Policy.Limit(c.account)); err != nil {
+		return i.rejectOverLimit(ctx, c, job, err)
+	}
 	value, err := json.Marshal(job)
 	if err != nil {
 		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
@@ -39,6 +42,22 @@
 	return i.storeJob(ctx, c, job, value, 0)
 }
 
+// rejectOverLimit answers a submission that can never fit the limit of its account. It confirms a job that was accepted
+// before, when the limit was higher, and relays the submission if the limit may have been raised since.
+func (i *Intake) rejectOverLimit(ctx context.Context, c *call, job *graph.Job, reason error) answer.Answer {
+	if !i.policyFresh(c.snapshot) {
+		return i.relayOrFallback(ctx, c, i.refusal("the configuration may be outdated: "+reason.Error()))
+	}
+	item, err := i.get(ctx, coordinator.JobKey(job.ID))
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return i.relayOrFallback(ctx, c, i.refusal(err.Error()))
+	}
+	if a, duplicate := i.answerDuplicate(job, item); duplicate {
+		return a
+	}
+	return answer.Answer{Kind: answer.Invalid, Reason: reason.Error()}
+}
+
 // storeJob stores a new job, unless its account has canceled it already. withdrawn is the revision of the job's
 // withdrawn key as far as it is known: a key that names other accounts only does not concern the job.
 func (i *Intake) storeJob(
