explain: say when the limit of a job's account was the reason for waiting

Cause: explain shows the lines that name a job. The lines about an account at its limit name none, so a job that waited for quota was explained by missing room. Change: Read also returns the lines about the limit of the job's account between the job's first and last line, and the one that was in force before. Cause names the limit for jobs that have not started and for late ones, and the lines about jobs above a lowered limit.

--- a/core/jobtrace/cause.go
+++ b/core/jobtrace/cause.go
@@ -38,9 +38,17 @@
 
 // explainUnfinished explains why a job has not ended; it is called if no line reports the end of the job.
 func explainUnfinished(lines []Line) string {
-	if start := lastLine(lines, "starting"); start != nil {
+	start, above := lastLine(lines, "starting"), lastLine(lines, "job waits for a higher limit")
+	if above != nil && (start == nil || start.At.Before(above.At)) {
+		return fmt.Sprintf("it waits until the limit of its account %s is raised: %s",
+			above.Fields["account"], above.Fields["reason"])
+	}
+	if start != nil {
 		return "its tasks were still at work at the end of the logs, or their ends were not recorded"
 	}
+	if limit := limitBeforeStart(lines); limit != nil {
+		return "it was accepted and never started: " + describeLimit(limit)
+	}
 	if wasAccepted(lines) {
 		return "it was accepted and never started: there was no room, or no VM led"
 	}
@@ -50,6 +58,25 @@
 	return "the logs do not tell"
 }
 
+// limitBeforeStart returns the last line that says, before the job's first start, that its account was at its limit, or
+// nil if there is none.
+func limitBeforeStart(lines []Line) *Line {
+	var limit *Line
+	for i := range lines {
+		switch lines[i].Message {
+		case "starting":
+			return limit
+		case reachedLimit:
+			limit = &lines[i]
+		}
+	}
+	return limit
+}
+
+func describeLimit(limit *Line) string {
+	return fmt.Sprintf("its account %s was at its limit (%s)", limit.Fields["account"], limit.Fields["held"])
+}
+
 // wasAccepted reports whether a VM answered the submission with success, or a leader queued the job.
 func wasAccepted(lines []Line) bool {
 	for i := range lines {
@@ -94,7 +121,11 @@
 	}
 	var reasons []string
 	if waited := duration(ended, "waited"); waited > time.Duration(0.1*float64(objective)) {
-		reasons = append(reasons, fmt.Sprintf("it waited %s for room", waited.Round(time.Millisecond)))
+		reason := fmt.Sprintf("it waited %s for room", waited.Round(time.Millisecond))
+		if limit := limitBeforeStart(lines); limit != nil {
+			reason += ", " + describeLimit(limit)
+		}
+		reasons = append(reasons, reason)
 	}
 	if stops := ended.Fields["stops"]; stops != "" {
 		reasons = append(reasons, "it was stopped: "+stops)
--- a/core/jobtrace/trace.go
+++ b/core/jobtrace/trace.go
@@ -27,52 +27,93 @@
 	Fields map[string]string
 }
 
-// Read returns the log lines about a job, ordered by timestamp. It ignores text before the JSON object of a line, and
-// lines without a JSON object.
+// Messages about the limits of client accounts. These lines name no job.
+const (
+	reachedLimit = "account reached its limit"
+	leftLimit    = "account left its limit"
+)
+
+// Read returns the log lines about a job, and those about the limit of its client account during the job, ordered by
+// timestamp. It ignores text before the JSON object of a line, and lines without a JSON object.
 func Read(job string, logs ...io.Reader) ([]Line, error) {
-	var lines []Line
+	var lines, limits []Line
 	for _, log := range logs {
 		scanner := bufio.NewScanner(log)
 		scanner.Buffer(nil, maxLine)
 		for scanner.Scan() {
-			if line, matches := parse(scanner.Text(), job); matches {
+			line, named, valid := parse(scanner.Text(), job)
+			switch {
+			case !valid:
+			case named == job:
 				lines = append(lines, line)
+			case line.Message == reachedLimit || line.Message == leftLimit:
+				limits = append(limits, line)
 			}
 		}
 		if err := scanner.Err(); err != nil {
 			return nil, errors.WithMessage(err, "a log can't be read")
 		}
 	}
-	sort.SliceStable(lines, func(i, j int) bool { return lines[i].At.Before(lines[j].At) })
+	sortLines(lines)
+	lines = append(lines, limitsDuring(lines, limits)...)
+	sortLines(lines)
 	return lines, nil
 }
 
-// parse parses one log line. Its second result reports whether the line is a valid log line about the job.
-func parse(text, job string) (Line, bool) {
+func sortLines(lines []Line) {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].At.Before(lines[j].At) })
+}
+
+// limitsDuring returns those of the lines about limits that concern the job's account while the job was known. A limit
+// that was reached before and not left counts.
+func limitsDuring(lines, limits []Line) []Line {
+	queued := lastLine(lines, "job queued")
+	if queued == nil || queued.Fields["account"] == "" {
+		return nil
+	}
+	sortLines(limits)
+	var during []Line
+	for _, limit := range limits {
+		ended := lastLine(lines, "job ended")
+		if limit.Fields["account"] != queued.Fields["account"] || ended != nil && limit.At.After(ended.At) {
+			continue
+		}
+		if limit.At.Before(lines[0].At) {
+			during = nil
+			if limit.Message == leftLimit {
+				continue
+			}
+		}
+		during = append(during, limit)
+	}
+	return during
+}
+
+// parse parses one log line. It returns the job that the line names, if any, and whether the line is a valid log line
+// that names the given job or is about the limit of an account.
+func parse(text, job string) (line Line, named string, valid bool) {
 	start := strings.IndexByte(text, '{')
-	if start < 0 || !strings.Contains(text, job) {
-		return Line{}, false
+	if start < 0 || !strings.Contains(text, job) && !strings.Contains(text, reachedLimit) &&
+		!strings.Contains(text, leftLimit) {
+		return Line{}, "", false
 	}
 	var raw map[string]any
 	if err := json.Unmarshal([]byte(text[start:]), &raw); err != nil {
-		return Line{}, false
+		return Line{}, "", false
 	}
-	line := Line{Fields: map[string]string{}}
+	line = Line{Fields: map[string]string{}}
 	for name, value := range raw {
 		line.Fields[name] = fmt.Sprint(value)
 	}
-	if line.Fields["job"] != job {
-		return Line{}, false
-	}
 	var err error
 	if line.At, err = time.Parse(time.RFC3339Nano, line.Fields["@timestamp"]); err != nil {
-		return Line{}, false
+		return Line{}, "", false
 	}
-	line.VM, line.Message = line.Fields["vm"], line.Fields["@message"]
+	line.VM, line.Message, named = line.Fields["vm"], line.Fields["@message"], line.Fields["job"]
 	for _, key := range []string{"@timestamp", "@message", "@level", "vm", "job"} {
 		delete(line.Fields, key)
 	}
-	return line, true
+	return line, named, true
 }
 
 // Write writes one output line for each log line, then a line with the cause of the job's outcome.
