Accounts: metrics and log lines of limits, and jobs above a lowered limit

Cause: operators could not see what an account with a limit or weight holds, nor why its jobs wait. Change: once a second the leader reads Planner.AccountUsage and Planner.OverLimit, publishes them as metrics, and logs when an account reaches or leaves its limit (after 5 s below it, as each end of a task brings a busy account below it) and, once, each job that needs more than the lowered limit. Lines are bounded at 40 a reading. Without a limit or weight in the configuration nothing is read. Result: the tests of accounts_test.go and TestOverLimit pass; the functions that they call are new, so they were not run on earlier code.

--- a/core/graph/fit.go
+++ b/core/graph/fit.go
@@ -37,21 +37,23 @@
 	return nil
 }
 
-// CheckLimit returns ErrOverLimit if a step of the job has a task, or a gang, that needs more than the given limit of its
-// account. A limit of 0 is none. Filler tasks count with all that they need.
+// CheckLimit returns ErrOverLimit if a step of the job has a task, or a gang, that needs more than the given limit of
+// its account. A limit of 0 is none. Filler tasks count with all that they need.
 func (j *Job) CheckLimit(limit resources.Amounts) error {
 	if limit == (resources.Amounts{}) {
 		return nil
 	}
 	for i := range j.Steps {
-		if err := j.Steps[i].checkLimit(limit); err != nil {
+		if err := j.Steps[i].CheckLimit(limit); err != nil {
 			return errors.WithMessagef(err, "step %d", i)
 		}
 	}
 	return nil
 }
 
-func (s *Step) checkLimit(limit resources.Amounts) error {
+// CheckLimit returns ErrOverLimit if a task of the step or, for a gang, all tasks together need more than a limit. A
+// limit of 0 is none.
+func (s *Step) CheckLimit(limit resources.Amounts) error {
 	needs, unit := s.Needs, "a task"
 	if s.Gang {
 		needs, unit = s.Needs.Times(s.Tasks), "the gang"
--- a/io/coordinator/control.go
+++ b/io/coordinator/control.go
@@ -74,6 +74,7 @@
 			t.planner.Tick()
 			t.history.next(time.Now())
 			t.publishCounts()
+			t.watchAccounts(time.Now())
 			t.removeOldJobs(ctx)
 		case <-t.pacer.timer.C:
 		}
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -150,8 +150,8 @@
 func (t *term) accept(e jobsAccepted, now time.Time) {
 	for _, job := range e.jobs {
 		if !t.planner.Has(job.ID) {
-			t.config.Log.Info("job queued", "job", job.ID, "queue", job.Queue, "steps", len(job.Steps),
-				"age", now.Sub(job.Accepted).String())
+			t.config.Log.Info("job queued", "job", job.ID, "queue", job.Queue, "account", job.ClientAccount,
+				"steps", len(job.Steps), "age", now.Sub(job.Accepted).String())
 		}
 		t.planner.Submit(job, now)
 	}
--- a/io/coordinator/metrics.go
+++ b/io/coordinator/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,11 +15,15 @@
 // Metrics holds the metrics of a Coordinator.
 type Metrics struct {
 	set *metrics.Set
+	// accounts is nil if the VM does not lead or no account has a limit or weight.
+	accounts atomic.Pointer[accountReading]
 }
 
 // NewMetrics returns metrics that are registered in the given set.
 func NewMetrics(set *metrics.Set) *Metrics {
-	return &Metrics{set: set}
+	m := &Metrics{set: set}
+	set.RegisterMetricsWriter(m.writeAccounts)
+	return m
 }
 
 func (m *Metrics) increment(format string, labels ...any) {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -60,6 +60,8 @@
 	// history reads how registrations were removed before the first read of all registrations.
 	history *history
 	acks    []ack
+	// accounts reports what the accounts with a limit or weight hold.
+	accounts *accountWatch
 	// lastProbe holds, for each failure domain, the time of the last round of probes to its workers.
 	lastProbe   map[domain.Name]time.Time
 	lastRemoval time.Time
@@ -95,6 +97,7 @@
 		lastProbe:    map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[string]store.Revision{},
 	}
 	t.history = newHistory(t)
+	t.accounts = newAccountWatch(config)
 	return t
 }
 
@@ -133,6 +136,7 @@
 	inbox := t.followInbox(revision)
 	defer inbox.Close()
 	defer t.closeLinks()
+	defer t.config.Metrics.setAccounts(nil, nil)
 	t.spawn(func() { t.watchMachines(ctx) })
 	t.spawn(func() { t.removeWithdrawn(ctx) })
 	t.control(ctx)
