Jobs: a cancellation that answers "no such job" also stops a submission on its way

Cause: Cancel of a job without a record only answered ErrNotFound. A submission that was sent before could still reach the store, and the job ran although its caller had been told that there is no such job. Change: the cancellation is stored in the page of the job. Result: TestCancelOvertakesSubmission fails with the earlier Cancel (the submission succeeds) and passes now. Open: a VM of an earlier build that rewrites the page drops the withdrawals.

--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -50,6 +50,8 @@
 		refuse(ctx, http.StatusNotFound, request.NotRun{Reason: NoSuchJob})
 	case errors.Is(err, jobs.ErrMismatch):
 		refuse(ctx, http.StatusConflict, request.NotRun{Reason: OtherJob})
+	case errors.Is(err, jobs.ErrWithdrawn):
+		refuse(ctx, http.StatusConflict, request.NotRun{Reason: request.Canceled})
 	case errors.Is(err, jobs.ErrLeaving):
 		refuse(ctx, http.StatusServiceUnavailable, request.NotRun{Reason: request.Leaving})
 	default:
--- a/io/jobbook/book.go
+++ b/io/jobbook/book.go
@@ -37,6 +37,8 @@
 // contents is the stored form of a page.
 type contents struct {
 	Jobs map[job.ID]job.Record
+	// Withdrawn holds the times at which jobs without a record were canceled.
+	Withdrawn map[job.ID]time.Time `json:",omitempty"`
 }
 
 // Book reads and writes job records. It is safe for concurrent use.
@@ -65,8 +67,8 @@
 }
 
 // Submit stores a new job and returns its record. If the same job was submitted before, it returns the stored record.
-// It fails with job.ErrMismatch if the ID belongs to another job, and with page.ErrUnknownEffect if the store did not
-// confirm the write.
+// It fails with job.ErrMismatch if the ID belongs to another job, with ErrWithdrawn if the job was canceled before, and
+// with page.ErrUnknownEffect if the store did not confirm the write.
 func (b *Book) Submit(ctx context.Context, record job.Record) (job.Record, error) {
 	var stored job.Record
 	err := b.commit(ctx, record.ID, func(c *contents) error {
@@ -78,6 +80,9 @@
 			stored = known
 			return nil
 		}
+		if at, withdrawn := c.Withdrawn[record.ID]; withdrawn && isWithdrawn(at, record.Submitted) {
+			return ErrWithdrawn
+		}
 		prune(c, record.Submitted)
 		record.Version = 1
 		c.Jobs[record.ID] = record
@@ -206,11 +211,16 @@
 	return fmt.Sprintf("%s%03d", prefix, number)
 }
 
-// prune deletes the records of jobs that ended more than retention ago.
+// prune deletes the records of jobs that ended more than retention ago, and the withdrawals that no longer hold.
 func prune(c *contents, now time.Time) {
 	for id, record := range c.Jobs {
 		if record.State.Final() && now.Sub(record.Ended) > retention {
 			delete(c.Jobs, id)
 		}
 	}
+	for id, at := range c.Withdrawn {
+		if !isWithdrawn(at, now) {
+			delete(c.Withdrawn, id)
+		}
+	}
 }
--- a/io/jobs/service.go
+++ b/io/jobs/service.go
@@ -31,6 +31,8 @@
 	ErrNotFound = errors.New("there is no such job")
 	// ErrMismatch reports that the ID of a submitted job already belongs to a different job.
 	ErrMismatch = errors.New("the ID belongs to another job")
+	// ErrWithdrawn reports a submission of a job that was canceled before it was accepted.
+	ErrWithdrawn = errors.New("the job was canceled before it was accepted")
 	// ErrLeaving reports that a new job was refused because this VM is leaving its site, that is, it is shutting down.
 	ErrLeaving = errors.New("the VM is leaving")
 )
@@ -90,8 +92,8 @@
 	s.leaving.Store(true)
 }
 
-// Submit stores a job and notifies the scheduler of its failure domain. It fails with *InvalidError, ErrMismatch or
-// ErrLeaving. After any other error it is unknown whether the job was stored.
+// Submit stores a job and notifies the scheduler of its failure domain. It fails with *InvalidError, ErrMismatch,
+// ErrWithdrawn or ErrLeaving. After any other error it is unknown whether the job was stored.
 func (s *Service) Submit(ctx context.Context, owner account.Name, submission Submission) (job.Record, error) {
 	if s.leaving.Load() {
 		return job.Record{}, ErrLeaving
@@ -104,6 +106,9 @@
 	if errors.Is(err, job.ErrMismatch) {
 		return job.Record{}, ErrMismatch
 	}
+	if errors.Is(err, jobbook.ErrWithdrawn) {
+		return job.Record{}, ErrWithdrawn
+	}
 	if err != nil {
 		return job.Record{}, err
 	}
@@ -179,16 +184,19 @@
 	return withCallerID(record), err
 }
 
-// Cancel requests the cancellation of a job that belongs to the client account. It does not change an ended job.
+// Cancel requests the cancellation of a job that belongs to the client account. It does not change an ended job. It
+// fails with ErrNotFound if there is no such job; a submission that was sent before can't take effect any more then.
 func (s *Service) Cancel(ctx context.Context, owner account.Name, id job.ID) (job.Record, error) {
-	record, err := s.book.Update(ctx, internalID(owner, id), func(r job.Record) (job.Record, error) {
-		if !r.State.Final() {
-			r.CancelRequested = true
-		}
-		return r, nil
-	})
+	record, err := s.requestCancel(ctx, owner, id)
 	if errors.Is(err, jobbook.ErrNotFound) {
-		return job.Record{}, ErrNotFound
+		err = s.book.Withdraw(ctx, internalID(owner, id), time.Now())
+		if err == nil {
+			return job.Record{}, ErrNotFound
+		}
+	}
+	if errors.Is(err, jobbook.ErrExists) {
+		// The job was accepted between the two calls.
+		record, err = s.requestCancel(ctx, owner, id)
 	}
 	if err != nil {
 		return job.Record{}, err
@@ -196,3 +204,12 @@
 	s.notifier.Notify(ctx, record.FailureDomain, []job.ID{record.ID})
 	return withCallerID(record), nil
 }
+
+func (s *Service) requestCancel(ctx context.Context, owner account.Name, id job.ID) (job.Record, error) {
+	return s.book.Update(ctx, internalID(owner, id), func(r job.Record) (job.Record, error) {
+		if !r.State.Final() {
+			r.CancelRequested = true
+		}
+		return r, nil
+	})
+}
