Upkeep: a machine that one list lacks is not taken as removed

Cause: a machine that was missing from a single list was done for good: its worker got tasks again, the next machine was drained beside it, and the wave's record named its upkeep as begun although it was not. Change: a machine counts as removed after five consecutive lists without it (one a second). Until then its stage does not change.

--- a/core/upkeep/host.go
+++ b/core/upkeep/host.go
@@ -37,6 +37,8 @@
 	seenDown bool
 	// enteredAt is the time at which the current stage began. It is zero if the next step of the stage is due at once.
 	enteredAt time.Time
+	// missing is the number of the last lists in a row that did not have the machine.
+	missing int
 	// notBefore is the earliest time at which a refused upkeep may be ordered again.
 	notBefore time.Time
 }
--- a/core/upkeep/script_test.go
+++ b/core/upkeep/script_test.go
@@ -84,6 +84,13 @@
 	case "gone":
 		delete(p.machines, machine.ID(words[1]))
 		p.list()
+	case "relist":
+		// Syntax: relist COUNT; the list is read again so many times, without a change.
+		count, err := strconv.Atoi(words[1])
+		qt.Assert(p.t, err, qt.IsNil)
+		for range count {
+			p.list()
+		}
 	case "worker":
 		kinds := map[string]Occupancy{"empty": Empty, "busy": Busy, "serving": Serving}
 		p.occupancies[endpoint.Name(words[1])] = kinds[words[2]]
--- a/core/upkeep/tracker.go
+++ b/core/upkeep/tracker.go
@@ -20,6 +20,9 @@
 	// assumeReturnedAfter is the time since the start of the upkeep after which a machine that is listed as up counts as
 	// back in service, even if it was never listed as out of service.
 	assumeReturnedAfter = 5 * time.Second
+	// removedAfter is the number of consecutive lists without a machine after which it counts as removed for good. One
+	// list may be incomplete. The lists are read every second.
+	removedAfter = 5
 )
 
 // Tracker tracks the waves of a site, the operators' requests for upkeep, and decides what to do next for their
@@ -88,6 +91,15 @@
 	for _, m := range list {
 		t.machines[m.ID] = m
 	}
+	for _, w := range t.waves {
+		for id, h := range w.hosts {
+			if _, listed := t.machines[id]; listed {
+				h.missing = 0
+			} else {
+				h.missing++
+			}
+		}
+	}
 }
 
 // Active reports whether the upkeep of any machine of any wave has not ended yet.
@@ -225,8 +237,10 @@
 func (t *Tracker) advance(w *waveState, h *host, now time.Time, occupancyOf func(endpoint.Name) Occupancy) []Action {
 	m, listed := t.machines[h.id]
 	if !listed && h.stage != done {
-		// The platform no longer lists the machine, so it was removed for good.
-		return h.unretire(done, now)
+		if h.missing >= removedAfter {
+			return h.unretire(done, now)
+		}
+		return nil
 	}
 	switch h.stage {
 	case draining:
