Takeover: an unreadable record of progress no longer ends each term

Cause: a record that can't be decoded was skipped together with its revision. Its job was planned anew, and the first new record was stored on condition that there is none. The transaction conflicted, the leader resigned, and so did each successor. Change: the revision of each record is kept, so that the new record replaces the unreadable one. Result: TestUnreadableProgress fails on the earlier code (the term has ended, nothing is stored) and passes now.

--- a/io/coordinator/takeover.go
+++ b/io/coordinator/takeover.go
@@ -51,6 +51,8 @@
 	progress := map[graph.ID]graph.Progress{}
 	t.revisions = map[string]store.Revision{}
 	for _, item := range records.Items {
+		// The job of a record that can't be decoded is planned anew, and its new record replaces the old one.
+		t.revisions[item.Key] = item.Revision
 		record, err := DecodeProgress(item)
 		if err != nil {
 			t.logSkippedRecord(err)
@@ -59,7 +61,6 @@
 		whole := progress[record.ID]
 		whole.Add(record)
 		progress[record.ID] = whole
-		t.revisions[item.Key] = item.Revision
 	}
 	t.restore(decodeInbox(inbox.Items, t.logSkippedRecord), progress)
 	if err := t.readWaves(ctx); err != nil {
