auburnstack check: check a configuration before it is sent

Cause: an operator learned of a mistake in op/config from the logs of the VMs, and of entries that never match not at all.

--- a/cmd/auburnstack/main.go
+++ b/cmd/auburnstack/main.go
@@ -14,6 +14,7 @@
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run the daemon of an entry VM"`
 	Entry    *entryCommand    `arg:"subcommand:entry" help:"run the daemon of an entry VM on the users' platform"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"check a configuration of the users' platform"`
 	Tables   *tablesCommand   `arg:"subcommand:tables" help:"read and edit the operators' tables"`
 	Request  *requestCommand  `arg:"subcommand:request" help:"send an urgent request"`
 	Job      *jobCommand      `arg:"subcommand:job" help:"submit and follow jobs"`
@@ -62,6 +63,8 @@
 		return args.Serve.run(ctx)
 	case args.Entry != nil:
 		return args.Entry.run(ctx)
+	case args.Check != nil:
+		return args.Check.run()
 	case args.Tables != nil:
 		return args.Tables.run(ctx, parser)
 	case args.Request != nil:
