Fault matrix: rows with an account at its limit

Cause: no test ran a site whose account is at its limit, with changes of leader, late orders, unresponsive and restarted workers or outages. Change: the simulated workers record a start that raises the amounts of all runs above the highest limit of the last 3 s, the time until all VMs know a configuration. The users' tolerance (a tenth and one task) is not granted. Ten rows set, lower and raise the limit.

--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -206,6 +206,8 @@
 	// inventory holds one machine for each worker. waves holds the upkeep that the operators have ordered.
 	inventory *memworker.Inventory
 	waves     []upkeep.Wave
+	// limit is the limit of the account that submits all jobs.
+	limit     resources.Amounts
 	network   *network
 	vms       []*testVM
 	log       hclog.Logger
@@ -315,8 +317,10 @@
 				},
 			},
 		},
-		Waves:    f.waves,
-		Accounts: []policy.Account{{Name: "refiner", Keys: []policy.Key{policy.Digest(testKey)}, Guaranteed: 32}},
+		Waves: f.waves,
+		Accounts: []policy.Account{{
+			Name: "refiner", Keys: []policy.Key{policy.Digest(testKey)}, Guaranteed: 32, Limit: f.limit,
+		}},
 	})
 	qt.Assert(f.t, err, qt.IsNil)
 	f.store.Put("op/config", value)
--- a/io/site/trouble_test.go
+++ b/io/site/trouble_test.go
@@ -95,13 +95,15 @@
 	}
 }
 
-// injectCapacity carries out the faults of changed capacities. It returns false if the fault is of another kind.
+// injectCapacity carries out the faults of changed capacities and of changed limits of the account. It returns false if the fault is of another kind.
 func (f *fleet) injectCapacity(words []string) bool {
 	switch words[0] {
 	case "shrink":
 		f.setCapacities(smallCapacity)
 	case "shrink-unregistered":
 		f.shrinkUnregistered(f.seconds(words[1]))
+	case "limit":
+		f.setLimit(f.number(words[1]))
 	case "grow":
 		f.setCapacities(fullCapacity)
 	default:
@@ -153,6 +155,13 @@
 	f.troubled.deadly = append(f.troubled.deadly, f.submit(batchQueue, steps, plan))
 }
 
+// setLimit changes the number of accelerators that all jobs may use together; 0 means no limit.
+func (f *fleet) setLimit(accelerators int) {
+	f.limit = resources.Amounts{Accelerators: int64(accelerators)}
+	f.workers.SetLimit(f.limit)
+	f.putPolicy(1)
+}
+
 // setCapacities changes the capacity of all workers but the last two.
 func (f *fleet) setCapacities(capacity resources.Amounts) {
 	for _, name := range f.workerNames[:len(f.workerNames)-2] {
--- a/standin/memworker/fleet.go
+++ b/standin/memworker/fleet.go
@@ -11,6 +11,7 @@
 
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
+	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/runner"
@@ -67,6 +68,9 @@
 	starts map[graph.TaskID][]StartedRun
 	// crashes holds for each task the number of workers that have crashed while they ran the task.
 	crashes map[graph.TaskID]int
+	// limit holds the largest amounts that all runs may have together. earlierLimits holds the limits before.
+	limit         resources.Amounts
+	earlierLimits []earlierLimit
 	// onReturn is called with the name of each worker that is back after a task has crashed it; it may be nil.
 	onReturn func(name endpoint.Name)
 }
--- a/standin/memworker/start.go
+++ b/standin/memworker/start.go
@@ -34,8 +34,8 @@
 	return w.crashOnStart(s.Task)
 }
 
-// checkStart records a violation if a task starts without enough free resources, on a worker without the label that it
-// needs, after it has ended as done, or while another worker runs it.
+// checkStart records a violation if a task starts without enough free resources, above the limit of its account, on
+// a worker without the label that it needs, after it has ended as done, or while another worker runs it.
 func (w *simulatedWorker) checkStart(task graph.TaskID) {
 	f := w.fleet
 	plan := f.plans[task.Job]
@@ -48,6 +48,7 @@
 	for _, other := range f.workers {
 		other.expire()
 	}
+	f.checkLimit(task)
 	if f.doneUnits[f.unitOf(task)] {
 		f.recordViolation("%s starts again after it has finished", task)
 	}
