--- a/core/planner/accountusage.go
+++ b/core/planner/accountusage.go
@@ -68,9 +68,16 @@
 
 func (a *AccountUsage) addWaiting(u *unit) {
 	a.Waiting++
-	held := a.Running.Add(a.Reserved).Add(u.spec().Needs.Times(u.size()))
-	if a.Limit.CPU > 0 && held.CPU > a.Limit.CPU || a.Limit.Memory > 0 && held.Memory > a.Limit.Memory ||
-		a.Limit.Accelerators > 0 && held.Accelerators > a.Limit.Accelerators {
+	needs := u.spec().Needs.Times(u.size())
+	held := a.Running.Add(a.Reserved).Add(needs)
+	if exceeds(needs.CPU, held.CPU, a.Limit.CPU) || exceeds(needs.Memory, held.Memory, a.Limit.Memory) ||
+		exceeds(needs.Accelerators, held.Accelerators, a.Limit.Accelerators) {
 		a.WaitingForLimit++
 	}
 }
+
+// exceeds reports whether a need raises the amount that is held above a limit; 0 means no limit. A unit that needs
+// nothing of a resource may start while the account is above a limit that was lowered.
+func exceeds(need, held, limit int64) bool {
+	return need > 0 && limit > 0 && held > limit
+}
