--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -95,7 +95,7 @@
 func (p *Planner) finishUnit(u *unit, reporter *member, now time.Time) {
 	for _, m := range u.members {
 		if m != reporter && m.state != ended {
-			m.markStopping()
+			m.markStopping(now)
 		}
 	}
 	u.phase = finished
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -11,6 +11,8 @@
 type jobState struct {
 	*graph.Job
 	queue policy.Queue
+	// holding is the state of the job's client account.
+	holding *holding
 	// units holds the units of each step of each occurrence: units[occurrence][step].
 	units [][][]*unit
 	state graph.State
@@ -57,6 +59,7 @@
 func (p *Planner) newJob(job *graph.Job) *jobState {
 	j := &jobState{Job: job, state: graph.Queued, stored: graph.Queued, stopCounts: map[StopReason]int{}}
 	j.queue = p.queueOf(job)
+	j.holding = p.holdingOf(job.ClientAccount)
 	p.anyAdvised = p.anyAdvised || j.queue.Advice != nil
 	j.units = make([][][]*unit, job.Occurrences())
 	for occurrence := range j.units {
@@ -210,7 +213,7 @@
 			if m.state == ended {
 				continue
 			}
-			m.markStopping()
+			m.markStopping(p.now)
 			p.actions = append(p.actions, Stop{Worker: m.worker.Name, Task: u.task(m.index), Run: u.run, Reason: reason})
 		}
 	}
@@ -221,6 +224,7 @@
 	delete(p.awaitingCapacity, u)
 	if u.phase == recording {
 		p.markDirty(u.part)
+		u.job.holding.recording = u.job.holding.recording.Sub(u.needs())
 	}
 	for _, m := range u.members {
 		m.release()
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -272,6 +272,7 @@
 	}
 	delete(p.awaitingCapacity, u)
 	u.phase = recording
+	u.job.holding.recording = u.job.holding.recording.Add(u.needs())
 	u.run++
 	p.markDirty(u.part)
 	u.recordVersion = u.part.version
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"auburnstack/core/account"
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
@@ -51,6 +52,10 @@
 	// anyRetired is set if a worker may be retired. anyAdvised is set if a job may be in a queue with advice.
 	anyRetired, anyAdvised bool
 	jobs                   map[graph.ID]*jobState
+	// holdings holds the state of all client accounts in the policy and in jobs.
+	holdings map[account.Name]*holding
+	// anyLimited and anyWeighted are set if the policy in force has an account with a limit or a weight.
+	anyLimited, anyWeighted bool
 	// recurring holds the recurring jobs that have not ended.
 	recurring map[graph.ID]*jobState
 	// waiting holds the units that can be placed.
@@ -107,11 +112,12 @@
 
 // New returns a planner without workers and jobs.
 func New(settings Settings, p *policy.Policy) *Planner {
-	return &Planner{
+	planner := &Planner{
 		settings:         settings,
 		policy:           p,
 		workers:          map[endpoint.Name]*worker{},
 		jobs:             map[graph.ID]*jobState{},
+		holdings:         map[account.Name]*holding{},
 		recurring:        map[graph.ID]*jobState{},
 		waiting:          map[*unit]struct{}{},
 		awaitingCapacity: map[*unit]struct{}{},
@@ -124,6 +130,8 @@
 		estimator:        newEstimator(),
 		examineLimit:     maxExamined,
 	}
+	planner.applyAccounts()
+	return planner
 }
 
 // SetPolicy replaces the policy in force, which is the operators' configuration. Jobs that the planner already has keep
@@ -132,6 +140,7 @@
 func (p *Planner) SetPolicy(next *policy.Policy) {
 	p.policy = next
 	p.needsPlacement = true
+	p.applyAccounts()
 	for _, j := range p.jobs {
 		if j.queue.Name == "" {
 			j.queue = p.queueOf(j.Job)
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -175,6 +175,7 @@
 // start orders the members of a unit to start.
 func (p *Planner) start(u *unit, now time.Time) {
 	u.phase = running
+	u.job.holding.recording = u.job.holding.recording.Sub(u.needs())
 	u.startedAt = now
 	if u.job.firstStart.IsZero() {
 		u.job.firstStart = now
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -177,6 +177,10 @@
 	stoppedAt time.Time
 	// stopping is set while the member's resources are included in worker.stopping.
 	stopping bool
+	// stoppingSince is the time at which stopping was set.
+	stoppingSince time.Time
+	// share counts the member among what its account holds of the worker's service.
+	share *serviceShare
 	// restored is set if a previous leader ordered the start.
 	restored bool
 	// confirmed is set once a report of the worker has shown that the run has survived its start.
@@ -222,6 +226,7 @@
 		u.members = append(u.members, m)
 		w.members[m] = struct{}{}
 		w.reserved = w.reserved.Add(u.spec().Reserved())
+		m.holdReserved()
 	}
 }
 
@@ -231,14 +236,16 @@
 	m.worker.reserved = m.worker.reserved.Sub(needs)
 	m.worker.used = m.worker.used.Add(needs)
 	m.state = unconfirmed
+	m.holdOrdered()
 }
 
 // markStopping includes the member's resources in worker.stopping.
-func (m *member) markStopping() {
+func (m *member) markStopping(now time.Time) {
 	if m.stopping || m.state == planned || m.state == ended {
 		return
 	}
 	m.stopping = true
+	m.holdStopping(now)
 	m.worker.stopping = m.worker.stopping.Add(m.unit.spec().Reserved())
 }
 
@@ -253,6 +260,7 @@
 	case ended:
 		return
 	}
+	m.holdReleased()
 	if m.stopping {
 		m.worker.stopping = m.worker.stopping.Sub(needs)
 		m.stopping = false
