Planner: the limit of an account bounds its starts

A start could raise what an account runs by any amount. The limit is now checked when a unit is placed, when its placement is submitted for storage and when its start is ordered. Everything counts that a worker may run: orders without an answer, runs being stopped, runs on silent workers until the lease has expired, runs that a new leader restored, and reported runs that should not exist, as far as their job is known. A unit that waits for its limit holds no worker, is no reason to skip units of other accounts with the same demand, and does not use the adviser.

Urgent units of priority 0 stop less urgent work of their account, least loss first, if the limit and the workers suffice after the stops. Runs on workers that do not answer are not stopped for it. A placement whose stops are overdue is withdrawn after capacityTimeout.

A lowered limit withdraws placements, the least urgent first, and stops only starts that stayed unanswered and that their worker's next report does not show (AboveLimit). A raised limit applies in the round that is being decided.

--- a/core/planner/action.go
+++ b/core/planner/action.go
@@ -63,6 +63,8 @@
 	NotWanted    StopReason = "NotWanted"
 	// NoCapacity stops a run that may not have begun yet on a worker that has no capacity for it any more.
 	NoCapacity StopReason = "NoCapacity"
+	// AboveLimit stops a run that may not have begun yet and that its account's lowered limit does not allow any more.
+	AboveLimit StopReason = "AboveLimit"
 	// Restarted stops a run that may have begun, or may still begin, after its worker has restarted.
 	Restarted StopReason = "Restarted"
 	// StartUnanswered stops a run that may not have begun yet on a worker that has not answered its start for long.
@@ -71,5 +73,5 @@
 
 // MayPrecedeStart reports whether stops for this reason concern runs that may not have begun.
 func (r StopReason) MayPrecedeStart() bool {
-	return r == NoCapacity || r == Restarted || r == StartUnanswered
+	return r == NoCapacity || r == AboveLimit || r == Restarted || r == StartUnanswered
 }
--- a/core/planner/advice.go
+++ b/core/planner/advice.go
@@ -104,7 +104,7 @@
 	}
 	for _, step := range p.queueOrder(now) {
 		u := step.units[0]
-		if !u.advised() {
+		if !u.advised() || u.exceedsLimit() {
 			continue
 		}
 		if workers := p.workersToAsk(u, wanted[u.stepID()], now); len(workers) > 0 {
--- a/core/planner/capacity.go
+++ b/core/planner/capacity.go
@@ -140,13 +140,16 @@
 
 // stopUnstarted orders a stop for a run that a worker does not report although the last attempt to start the run ended,
 // without an answer, before the report was requested. It does so after startTimeout, and at once if the start could
-// overfill the worker: then the start is not repeated. The stop rules out that the run still begins.
+// overfill the worker or exceed its account's limit: then the start is not repeated. The stop rules out that the run
+// still begins.
 func (p *Planner) stopUnstarted(m *member, sent, now time.Time) {
 	unanswered := m.state == unconfirmed && !m.unansweredAt.IsZero() && m.unansweredAt.Before(sent)
 	switch {
 	case !unanswered || m.unit.phase != running:
 	case p.MayOverfill(m.worker.Name):
 		p.stopUnit(m.unit, NoCapacity)
+	case m.unit.job.holding.isOver():
+		p.stopUnit(m.unit, AboveLimit)
 	case now.Sub(m.unit.startedAt) > startTimeout:
 		p.stopUnit(m.unit, StartUnanswered)
 	}
--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -145,7 +145,11 @@
 // expireLeases marks all runs on workers whose leases have expired as lost.
 func (p *Planner) expireLeases(now time.Time) {
 	for _, w := range p.workersByName {
-		if len(w.members) == 0 || now.Before(w.leaseEnd) {
+		if now.Before(w.leaseEnd) {
+			continue
+		}
+		w.clearUnexpected()
+		if len(w.members) == 0 {
 			continue
 		}
 		p.reportExpired(w, now)
--- a/core/planner/group.go
+++ b/core/planner/group.go
@@ -44,7 +44,7 @@
 func (p *Planner) placeTogether(group []*unit, r *round) []*worker {
 	u := group[0]
 	spare := p.spareFor(r, u.job.queue.Service)
-	n := len(group)
+	n := u.job.holding.tasksWithin(u.spec().Needs, len(group))
 	if !u.urgent() {
 		n = spare.maxUnits(u.spec().Needs.Accelerators, n)
 	}
--- a/core/planner/holding.go
+++ b/core/planner/holding.go
@@ -1,7 +1,10 @@
 package planner
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"auburnstack/core/account"
@@ -33,6 +36,9 @@
 	// stopping holds the members whose runs are being stopped. It has no members that were ordered to stop while the
 	// account had no limit.
 	stopping map[*member]struct{}
+	// lesser counts the members in running and reserved whose queue has a priority above 0. Only these may be stopped in
+	// favor of other work of the account.
+	lesser int
 	// shares holds the amounts in running and reserved by the service of the worker.
 	shares []*serviceShare
 }
@@ -53,8 +59,8 @@
 	return h
 }
 
-// applyAccounts takes the limits and weights of accounts from the policy in force.
-func (p *Planner) applyAccounts() {
+// applyAccounts takes the limits and weights of accounts from the policy in force. It reports whether one has changed.
+func (p *Planner) applyAccounts() bool {
 	configured := map[account.Name]*policy.Account{}
 	for i := range p.policy.Accounts {
 		a := &p.policy.Accounts[i]
@@ -64,16 +70,24 @@
 		}
 	}
 	p.anyLimited, p.anyWeighted = false, false
+	changed := false
 	for name, h := range p.holdings {
 		a, known := configured[name]
 		if !known {
 			a = &policy.Account{}
 		}
+		changed = changed || h.limit != a.Limit || h.weight != a.Weight
 		h.limit, h.limited = a.Limit, a.Limit != resources.Amounts{}
 		h.weight = a.Weight
 		p.anyLimited = p.anyLimited || h.limited
 		p.anyWeighted = p.anyWeighted || h.weight > 0
 	}
+	return changed
+}
+
+// sortedHoldings returns all accounts sorted by name, which makes decisions deterministic.
+func (p *Planner) sortedHoldings() []*holding {
+	return slices.SortedFunc(maps.Values(p.holdings), func(a, b *holding) int { return cmp.Compare(a.account, b.account) })
 }
 
 // bound returns the largest amounts that the account may hold.
@@ -109,8 +123,8 @@
 	return !h.limited || needs.Fits(h.bound().Sub(h.running).Sub(h.unexpected))
 }
 
-// stopsDue returns the amounts of the runs that are being stopped and can be expected to end soon: their workers answer,
-// and they were ordered to stop within capacityTimeout.
+// stopsDue returns the amounts of the runs that are being stopped and can be expected to end soon: their workers
+// answer, and they were ordered to stop within capacityTimeout.
 func (h *holding) stopsDue(now time.Time) resources.Amounts {
 	var sum resources.Amounts
 	for m := range h.stopping {
@@ -144,6 +158,10 @@
 	h.reserved = h.reserved.Add(needs)
 	m.share = h.share(m.worker.Service)
 	m.share.held = m.share.held.Add(needs)
+	m.lesser = m.unit.job.queue.Priority > 0
+	if m.lesser {
+		h.lesser++
+	}
 }
 
 // holdOrdered counts a reserved member as running.
@@ -170,6 +188,9 @@
 		h.running = h.running.Sub(needs)
 	}
 	m.share.held = m.share.held.Sub(needs)
+	if m.lesser {
+		h.lesser--
+	}
 	if m.stopping {
 		delete(h.stopping, m)
 	}
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -85,11 +85,12 @@
 	}
 	seen := map[*member]struct{}{}
 	w.unwantedRuns = 0
+	w.clearUnexpected()
 	for i := range o.Runs {
 		if m := p.observeRun(w, &o.Runs[i], now); m != nil {
 			seen[m] = struct{}{}
 		} else {
-			w.unwantedRuns++
+			p.countUnexpected(w, &o.Runs[i])
 		}
 	}
 	if !o.MoreEnded {
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -47,6 +47,9 @@
 	// ignoreOwnLimits is set to find out whether the unit could be placed without its spread limit and its avoided
 	// workers.
 	ignoreOwnLimits bool
+	// missing holds the amounts by which the unit exceeds what its account's limit leaves. Work of the account that holds
+	// these amounts must be stopped.
+	missing resources.Amounts
 }
 
 func newSearch(r *round, u *unit, tasks int) search {
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -112,7 +112,7 @@
 func (p *Planner) placeOne(u *unit, r *round) {
 	spare := p.spareFor(r, u.job.queue.Service)
 	wanted := u.spec().Needs.Accelerators * int64(u.size())
-	if !u.urgent() && !spare.allows(wanted) || p.knownToFail(r, u) {
+	if p.blockedByLimit(u) || !u.urgent() && !spare.allows(wanted) || p.knownToFail(r, u) {
 		return
 	}
 	found := p.find(newSearch(r, u, u.size()), spare)
@@ -131,6 +131,9 @@
 
 // find returns workers for a unit and the work to stop there, or nil.
 func (p *Planner) find(s search, spare *spareCapacity) *eviction {
+	if s.unit.exceedsLimit() {
+		return p.findWithinLimit(s)
+	}
 	if places := p.placeAvoidingHeadroom(s, spare); places != nil {
 		return &eviction{places: places}
 	}
@@ -192,6 +195,11 @@
 	for _, u := range p.sortedAwaitingCapacity() {
 		if now.Sub(u.placedAt) > capacityTimeout {
 			p.suspendOverdue(u, now)
+			if !u.job.holding.allowsRecord(u.needs()) {
+				// The stops that the account's limit requires are overdue. The unit must not hold its workers any longer.
+				p.withdrawForLimit(u, now)
+				continue
+			}
 		}
 		if !p.workersAccept(u, now) {
 			p.withdraw(u)
@@ -256,8 +264,12 @@
 	return b
 }
 
-// tryRecord submits a placement for storage if its workers have enough free capacity for all of its tasks.
+// tryRecord submits a placement for storage if its workers have enough free capacity for all of its tasks, and if the
+// limit of its account allows its start.
 func (p *Planner) tryRecord(u *unit) {
+	if !u.job.holding.allowsRecord(u.needs()) {
+		return
+	}
 	needs := u.spec().Reserved()
 	for _, m := range u.members {
 		available := m.worker.freeNow()
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -140,7 +140,11 @@
 func (p *Planner) SetPolicy(next *policy.Policy) {
 	p.policy = next
 	p.needsPlacement = true
-	p.applyAccounts()
+	if p.applyAccounts() {
+		// Units that the current round has tried may fit now.
+		p.round = nil
+		p.withdrawOverLimits()
+	}
 	for _, j := range p.jobs {
 		if j.queue.Name == "" {
 			j.queue = p.queueOf(j.Job)
--- a/core/planner/preempt.go
+++ b/core/planner/preempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"auburnstack/core/endpoint"
+	"auburnstack/core/resources"
 )
 
 // eviction is a set of units to stop and the workers that the urgent unit then gets.
@@ -41,9 +42,37 @@
 	return best
 }
 
-// evict selects victims in the given order until the unit can be placed on the given workers, and then removes the
-// victims that turn out not to be needed. It returns nil if all victims together do not suffice.
+// evict returns the eviction that places the unit on the given workers, or nil. If the unit exceeds its account's
+// limit, evict also tries to stop work of the account first, because that satisfies the limit as well.
 func (p *Planner) evict(s search, workers []*worker, victims []victim) *eviction {
+	best := p.evictInOrder(s, workers, victims)
+	if s.missing == (resources.Amounts{}) {
+		return best
+	}
+	own := p.evictInOrder(s, workers, s.unit.ownFirst(victims))
+	if best == nil || own != nil && own.loss < best.loss {
+		return own
+	}
+	return best
+}
+
+// ownFirst returns the victims with those of the unit's account first.
+func (u *unit) ownFirst(victims []victim) []victim {
+	var own, others []victim
+	for _, v := range victims {
+		if v.unit.job.holding == u.job.holding {
+			own = append(own, v)
+		} else {
+			others = append(others, v)
+		}
+	}
+	return append(own, others...)
+}
+
+// evictInOrder selects victims in the given order until the unit can be placed on the given workers, then victims that
+// its account's limit requires, and then removes the victims that turn out not to be needed. It returns nil if all
+// victims together do not suffice.
+func (p *Planner) evictInOrder(s search, workers []*worker, victims []victim) *eviction {
 	t := p.newTally(s, workers)
 	entitled := p.withinGuarantee(s.round, s.unit)
 	var chosen []victim
@@ -57,14 +86,11 @@
 	if t.total < s.tasks {
 		return nil
 	}
-	for i := len(chosen) - 1; i >= 0; i-- {
-		t.restore(chosen[i])
-		if t.total >= s.tasks {
-			chosen = append(chosen[:i], chosen[i+1:]...)
-			continue
-		}
-		t.free(chosen[i])
+	chosen = p.chooseForLimit(t, chosen)
+	if !t.withinLimit() {
+		return nil
 	}
+	chosen = t.prune(chosen)
 	places := p.choose(s, t.candidates())
 	if places == nil {
 		return nil
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -159,8 +159,12 @@
 	}
 	delete(p.storing, changed)
 	for _, u := range changed.units {
-		if u.phase == recording && u.recordVersion <= change.Version {
+		switch {
+		case u.phase != recording || u.recordVersion > change.Version:
+		case u.job.holding.allowsStart(u.needs()):
 			p.start(u, now)
+		default:
+			p.withdrawForLimit(u, now)
 		}
 	}
 	if changed.index > 0 {
--- a/core/planner/restart.go
+++ b/core/planner/restart.go
@@ -38,6 +38,7 @@
 	}
 	w.health = health{}
 	w.unwantedRuns = 0
+	w.clearUnexpected()
 	p.giveUpDeadly(suspected, now)
 }
 
--- a/core/planner/round.go
+++ b/core/planner/round.go
@@ -162,6 +162,8 @@
 	longRunning    bool
 	// entitled is the account whose guarantee allows the unit to stop work of other accounts, or empty.
 	entitled account.Name
+	// limited is the account whose limit the unit exceeds, or empty. Other accounts' units do not fail for that.
+	limited account.Name
 	// unit is set for units whose placement depends on more than the other fields.
 	unit *unit
 }
@@ -186,6 +188,9 @@
 		avoidsHeadroom: !u.urgent() && !u.advised() && r.now.Sub(u.waitingSince) < headroomWait,
 		longRunning:    step.LongRunning,
 	}
+	if u.exceedsLimit() {
+		d.limited = u.job.ClientAccount
+	}
 	if u.urgent() && p.withinGuarantee(r, u) {
 		d.entitled = u.job.ClientAccount
 	}
--- a/core/planner/tally.go
+++ b/core/planner/tally.go
@@ -11,6 +11,8 @@
 	order []*worker
 	// total is the number of tasks that fit on all workers together.
 	total int
+	// missing is search.missing without what the chosen victims hold. Amounts may be negative.
+	missing resources.Amounts
 }
 
 // room is the capacity that a worker can give to a unit.
@@ -20,7 +22,7 @@
 }
 
 func (p *Planner) newTally(s search, workers []*worker) *tally {
-	t := &tally{search: s, rooms: make(map[*worker]*room, len(workers))}
+	t := &tally{search: s, missing: s.missing, rooms: make(map[*worker]*room, len(workers))}
 	for _, w := range workers {
 		if !p.eligible(s, w) {
 			continue
@@ -68,9 +70,30 @@
 		entry.count = t.search.count(m.worker, entry.available)
 		t.total += entry.count
 	}
+	if h := t.search.unit.job.holding; h.limited && v.unit.job.holding == h {
+		t.missing = t.missing.Sub(v.unit.reclaimable().Times(sign))
+	}
 	t.search.round.examined += len(v.unit.members)
 }
 
+// satisfied reports whether the tasks of the search fit on the workers and the limit of their account allows them.
+func (t *tally) satisfied() bool {
+	return t.total >= t.search.tasks && t.withinLimit()
+}
+
+// prune removes the victims that are not needed from a list of chosen ones, the last ones first.
+func (t *tally) prune(chosen []victim) []victim {
+	for i := len(chosen) - 1; i >= 0; i-- {
+		t.restore(chosen[i])
+		if t.satisfied() {
+			chosen = append(chosen[:i], chosen[i+1:]...)
+			continue
+		}
+		t.free(chosen[i])
+	}
+	return chosen
+}
+
 // candidates returns the workers on which at least one task fits.
 func (t *tally) candidates() []candidate {
 	var list []candidate
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -181,6 +181,8 @@
 	stoppingSince time.Time
 	// share counts the member among what its account holds of the worker's service.
 	share *serviceShare
+	// lesser is set if the member counts in holding.lesser.
+	lesser bool
 	// restored is set if a previous leader ordered the start.
 	restored bool
 	// confirmed is set once a report of the worker has shown that the run has survived its start.
--- a/core/planner/victim.go
+++ b/core/planner/victim.go
@@ -35,6 +35,8 @@
 	byRack map[endpoint.Rack][]victim
 	// racks lists the racks of byRack in alphabetical order.
 	racks []endpoint.Rack
+	// byAccount holds the victims of each account with a limit.
+	byAccount map[*holding][]victim
 }
 
 // victimsOf returns the victims among all units of the site and collects them once per call of Plan.
@@ -42,7 +44,7 @@
 	if r.victims != nil {
 		return r.victims
 	}
-	list := &victims{byRack: map[endpoint.Rack][]victim{}}
+	list := &victims{byRack: map[endpoint.Rack][]victim{}, byAccount: map[*holding][]victim{}}
 	seen := map[*unit]bool{}
 	for _, w := range p.workersByName {
 		for m := range w.members {
@@ -55,6 +57,9 @@
 	}
 	sort.Slice(list.all, func(i, j int) bool { return list.all[i].stopsBefore(&list.all[j]) })
 	for _, v := range list.all {
+		if h := v.unit.job.holding; h.limited {
+			list.byAccount[h] = append(list.byAccount[h], v)
+		}
 		for rack := range v.unit.racks() {
 			list.byRack[rack] = append(list.byRack[rack], v)
 		}
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -41,6 +41,8 @@
 	// unwantedRuns counts the runs in the worker's last report that should not exist there. The field used does not
 	// include the resources of these runs, so the worker gets no new tasks until the runs have ended.
 	unwantedRuns int
+	// unexpected lists those of them that count for the account of their job.
+	unexpected []unexpectedRun
 	// rejectedUntil is the time until which the worker gets no new tasks because it has rejected a start.
 	rejectedUntil time.Time
 	health        health
@@ -118,7 +120,8 @@
 
 func (p *Planner) dropUnregistered() {
 	for name, w := range p.workers {
-		if !w.registered && len(w.members) == 0 {
+		if !w.registered && len(w.members) == 0 && !w.holdsLimited() {
+			w.clearUnexpected()
 			delete(p.workers, name)
 		}
 	}
