Planner: the answer to a stop of an earlier run says nothing about the next run

While a unit awaits capacity it still has the number of its previous run. The answer to a repeated stop of that run, on the same worker, was recorded on the member of the new placement. The next report without the new run then ended the run although its start was still on its way: the task could run twice, and its account could run more than its limit. Found by the property test of limits that follows (rapid, about once in 500 checks). lookup now returns no member for such a unit.

TestLateStopAnswerOfEarlierRun fails without the change. go test ./planner passes.

--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -99,14 +99,15 @@
 }
 
 // lookup returns the member of the given run on a worker, or nil if that run is not the newest one of its unit or was
-// not assigned to this worker.
+// not assigned to this worker. A unit that awaits capacity still has the number of its previous run, whose members have
+// ended.
 func (p *Planner) lookup(w *worker, task graph.TaskID, run graph.Run) *member {
 	j, known := p.jobs[task.Job]
 	if !known {
 		return nil
 	}
 	u := j.findUnit(task.Occurrence, task.Step, task.Index)
-	if u == nil || u.run != run {
+	if u == nil || u.run != run || u.phase == awaitingCapacity {
 		return nil
 	}
 	index := task.Index - u.index
