Planner: weights of accounts order the waiting units of one priority

The order took no account of who submits. If the policy has a weight, units of jobs beyond the account's rate of one job per second and weight come after all others of their priority, until the rate admits them. Among the rest, units that take their account beyond its weighted share of the service come last; the deadline decides only then. Without weights the order is as before.

--- a/core/planner/holding.go
+++ b/core/planner/holding.go
@@ -41,6 +41,8 @@
 	lesser int
 	// shares holds the amounts in running and reserved by the service of the worker.
 	shares []*serviceShare
+	// arrivals is only used if an account has a weight.
+	arrivals arrivals
 }
 
 // serviceShare is what an account holds on the workers of one service: runs that have not ended and placements.
@@ -69,6 +71,7 @@
 			p.holdingOf(a.Name)
 		}
 	}
+	wasWeighted := p.anyWeighted
 	p.anyLimited, p.anyWeighted = false, false
 	changed := false
 	for name, h := range p.holdings {
@@ -78,10 +81,12 @@
 		}
 		changed = changed || h.limit != a.Limit || h.weight != a.Weight
 		h.limit, h.limited = a.Limit, a.Limit != resources.Amounts{}
+		p.arrivalsChanged = p.arrivalsChanged || h.weight != a.Weight
 		h.weight = a.Weight
 		p.anyLimited = p.anyLimited || h.limited
 		p.anyWeighted = p.anyWeighted || h.weight > 0
 	}
+	p.arrivalsChanged = p.arrivalsChanged || p.anyWeighted != wasWeighted
 	return changed
 }
 
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -13,6 +13,8 @@
 	queue policy.Queue
 	// holding is the state of the job's client account.
 	holding *holding
+	// withinRateAt is the time from which on the job is within the rate at which its account may submit jobs.
+	withinRateAt time.Time
 	// units holds the units of each step of each occurrence: units[occurrence][step].
 	units [][][]*unit
 	state graph.State
@@ -40,6 +42,7 @@
 		return
 	}
 	j := p.addJob(job)
+	p.admitArrival(j)
 	if j.queue.Priority == 0 {
 		p.headroom.recordArrival(job, now)
 	}
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -1,7 +1,8 @@
 package planner
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 	// accepted or, for a recurring job, after its occurrence was due.
 	late     bool
 	priority int
+	// overRate is set if the account of the job has submitted more jobs per second than its weight allows. overShare is
+	// set if the units take their account beyond its weighted share of the service.
+	overRate, overShare bool
 	// deadline is the time by which the job should finish according to its objective.
 	deadline time.Time
 }
@@ -24,8 +28,8 @@
 // queueOrder returns the waiting units of each step, in the order in which the steps are placed.
 func (p *Planner) queueOrder(now time.Time) []*waitingStep {
 	if p.prefersUrgent() {
-		steps := p.waitingSteps(now)
-		sort.Slice(steps, func(i, j int) bool { return steps[i].before(steps[j]) })
+		steps := p.applyWeights(p.waitingSteps(now), now)
+		slices.SortFunc(steps, (*waitingStep).compare)
 		return steps
 	}
 	units := make([]*unit, 0, len(p.waiting))
@@ -84,15 +88,30 @@
 	}
 }
 
-func (s *waitingStep) before(other *waitingStep) bool {
-	if s.late != other.late {
-		return other.late
+// compare returns a negative number if the step is placed before the other one.
+func (s *waitingStep) compare(other *waitingStep) int {
+	switch {
+	case s.late != other.late:
+		return last(s.late)
+	case s.priority != other.priority:
+		return cmp.Compare(s.priority, other.priority)
+	case s.overRate != other.overRate:
+		return last(s.overRate)
+	case s.overShare != other.overShare:
+		return last(s.overShare)
+	case !s.deadline.Equal(other.deadline):
+		return s.deadline.Compare(other.deadline)
+	case s.units[0].less(other.units[0]):
+		return -1
+	default:
+		return 1
 	}
-	if s.priority != other.priority {
-		return s.priority < other.priority
-	}
-	if !s.deadline.Equal(other.deadline) {
-		return s.deadline.Before(other.deadline)
+}
+
+// last returns the result of a comparison with a step that differs in a condition, the fulfillment of which comes last.
+func last(fulfilled bool) int {
+	if fulfilled {
+		return 1
 	}
-	return s.units[0].less(other.units[0])
+	return -1
 }
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -56,6 +56,8 @@
 	holdings map[account.Name]*holding
 	// anyLimited and anyWeighted are set if the policy in force has an account with a limit or a weight.
 	anyLimited, anyWeighted bool
+	// arrivalsChanged is set if the rates at which accounts submit jobs must be determined again.
+	arrivalsChanged bool
 	// recurring holds the recurring jobs that have not ended.
 	recurring map[graph.ID]*jobState
 	// waiting holds the units that can be placed.
--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -13,6 +13,7 @@
 		return
 	}
 	j := p.addJob(job)
+	p.arrivalsChanged = true
 	if progress.State != "" {
 		j.state, j.stored = progress.State, progress.State
 	}
