Planner: tests of limits that fail for each mechanism

With 32 mechanisms of limits and weights switched off one at a time, four tests passed that should not: the demand of another account (accounts with a guarantee have demands of their own), groups placed in one search, services stopped several at a time, and the rates after a takeover. These tests are stricter now, and a case is added where one stop serves limit and workers.

--- a/core/planner/limit_test.go
+++ b/core/planner/limit_test.go
@@ -70,13 +70,25 @@
 	qt.Check(t, usageOf(p, "gold").Running, qt.Equals, amountsOf(16))
 }
 
+// TestGroupStaysWithinLimit guards against a group of tasks that are placed in one search and reserve workers beyond the
+// limit of their account.
+func TestGroupStaysWithinLimit(t *testing.T) {
+	next := limitedPolicy("gold", 16)
+	next.Queues = next.Queues[1:]
+	p, _, now := newLimitedPlanner(next, 6)
+	p.Submit(simpleJob("group", "batch", "gold", 30, 2, now), now)
+	p.Plan(now)
+	qt.Check(t, usageOf(p, "gold").Reserved, qt.Equals, amountsOf(16))
+}
+
 // TestLimitOfOneAccountDoesNotFailOthers guards against a round that skips another account's units because a unit with
 // the same demand exceeds the limit of its own account.
 func TestLimitOfOneAccountDoesNotFailOthers(t *testing.T) {
 	for _, queue := range []string{"urgent", "batch"} {
-		p, _, now := newLimitedPlanner(limitedPolicy("gold", 2), 6)
-		p.Submit(simpleJob("a", queue, "gold", 1, 4, now), now)
-		p.Submit(simpleJob("b", queue, "silver", 1, 4, now), now)
+		// Accounts with a guarantee have demands of their own.
+		p, _, now := newLimitedPlanner(limitedPolicy("bronze", 2), 6)
+		p.Submit(simpleJob("a", queue, "bronze", 1, 4, now), now)
+		p.Submit(simpleJob("b", queue, "iron", 1, 4, now), now)
 		started, _ := ordersOf(settle(p, now))
 		qt.Check(t, started, qt.DeepEquals, []string{"b.0.0.0"}, qt.Commentf(queue))
 	}
--- a/core/planner/reclaim_test.go
+++ b/core/planner/reclaim_test.go
@@ -101,6 +101,29 @@
 	qt.Check(t, stopped, qt.DeepEquals, []string{"new.0.0.0"})
 }
 
+// TestReclaimPrefersWorkThatServesBoth guards against two stops, the cheapest one for the limit and the cheapest one for
+// the workers, where one stop that costs less than both serves the limit and the workers.
+func TestReclaimPrefersWorkThatServesBoth(t *testing.T) {
+	p, _, now := newLimitedPlanner(limitedPolicy("gold", 16), 3)
+	pauses := []time.Duration{100 * time.Millisecond, time.Second, time.Second}
+	for i, name := range []string{"gold", "gold", "silver"} {
+		job := simpleJob(string('a'+rune(len(p.jobs))), "batch", name, 1, 8, now)
+		if name == "silver" {
+			// The headroom for urgent work concerns accelerators only.
+			job.Steps[0].Needs.Accelerators = 0
+		}
+		p.Submit(job, now)
+		settle(p, now)
+		now = now.Add(pauses[i])
+	}
+	answerAll(p)
+	// The second job of the account is the cheaper one to stop, but its worker gets no new tasks.
+	p.workers[workerOf(p, "b")].retired = true
+	p.Submit(simpleJob("urgent", "urgent", "gold", 1, 8, now), now)
+	_, stopped := ordersOf(settle(p, now))
+	qt.Check(t, stopped, qt.DeepEquals, []string{"a.0.0.0"})
+}
+
 // TestOtherAccountsAreNotStoppedAboveLimit guards against the preemption of other accounts' work for a unit that its own
 // account's limit does not allow.
 func TestOtherAccountsAreNotStoppedAboveLimit(t *testing.T) {
@@ -132,17 +155,20 @@
 // TestReclaimSparesServices guards against long-running tasks that are stopped for a unit beyond its account's guarantee,
 // or more of them at a time than their step allows to be absent.
 func TestReclaimSparesServices(t *testing.T) {
-	for guaranteed, stops := range map[int64]int{0: 0, 2: 1} {
+	for _, test := range []struct {
+		guaranteed, wanted int64
+		stops              int
+	}{{0, 2, 0}, {2, 2, 1}, {4, 4, 0}} {
 		next := limitedPolicy("gold", 4)
-		next.Accounts[0].Guaranteed = guaranteed
+		next.Accounts[0].Guaranteed = test.guaranteed
 		p, _, now := newLimitedPlanner(next, 2)
 		service := simpleJob("service", "batch", "gold", 2, 2, now)
 		service.Steps[0].LongRunning, service.Steps[0].AbsenceLimit = true, 1
 		p.Submit(service, now)
 		settle(p, now)
 		answerAll(p)
-		p.Submit(simpleJob("urgent", "urgent", "gold", 1, 2, now), now)
+		p.Submit(simpleJob("urgent", "urgent", "gold", 1, test.wanted, now), now)
 		_, stopped := ordersOf(settle(p, now))
-		qt.Check(t, stopped, qt.HasLen, stops, qt.Commentf("guaranteed %d", guaranteed))
+		qt.Check(t, stopped, qt.HasLen, test.stops, qt.Commentf("%+v", test))
 	}
 }
--- a/core/planner/share_test.go
+++ b/core/planner/share_test.go
@@ -115,6 +115,7 @@
 	qt.Check(t, orderOf(first, now), qt.DeepEquals, want)
 
 	second, _, _ := newLimitedPlanner(next, 40)
+	qt.Check(t, orderOf(second, now), qt.HasLen, 0)
 	for i := range jobs {
 		second.Restore(jobs[len(jobs)-1-i], graph.Progress{}, now)
 	}
