--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -95,7 +95,7 @@
 func (p *Planner) finishUnit(u *unit, reporter *member, now time.Time) {
 	for _, m := range u.members {
 		if m != reporter && m.state != ended {
-			m.markStopping()
+			m.markStopping(now)
 		}
 	}
 	u.phase = finished
@@ -145,7 +145,11 @@
 // expireLeases marks all runs on workers whose leases have expired as lost.
 func (p *Planner) expireLeases(now time.Time) {
 	for _, w := range p.workersByName {
-		if len(w.members) == 0 || now.Before(w.leaseEnd) {
+		if now.Before(w.leaseEnd) {
+			continue
+		}
+		w.clearUnexpected()
+		if len(w.members) == 0 {
 			continue
 		}
 		p.reportExpired(w, now)
--- a/core/planner/overlimit.go
+++ b/core/planner/overlimit.go
@@ -9,9 +9,9 @@
 	"auburnstack/core/resources"
 )
 
-// OverLimit describes a job that waits because a task or gang of it needs more than the limit of its account. The limit
+// JobOverLimit describes a job that waits because a task or gang of it needs more than the limit of its account. The limit
 // was lowered after the job was accepted.
-type OverLimit struct {
+type JobOverLimit struct {
 	Job     graph.ID
 	Account account.Name
 	// Units is the number of such units that wait.
@@ -20,8 +20,8 @@
 	Reason string
 }
 
-// OverLimit returns the jobs that wait for a higher limit of their account, sorted by ID.
-func (p *Planner) OverLimit() []OverLimit {
+// JobsOverLimit returns the jobs that wait for a higher limit of their account, sorted by ID.
+func (p *Planner) JobsOverLimit() []JobOverLimit {
 	limits := map[account.Name]resources.Amounts{}
 	for i := range p.policy.Accounts {
 		if a := &p.policy.Accounts[i]; a.Limit != (resources.Amounts{}) {
@@ -31,7 +31,7 @@
 	if len(limits) == 0 {
 		return nil
 	}
-	found := map[graph.ID]*OverLimit{}
+	found := map[graph.ID]*JobOverLimit{}
 	for u := range p.waiting {
 		limit, limited := limits[u.job.ClientAccount]
 		if !limited {
@@ -42,14 +42,14 @@
 			continue
 		}
 		if found[u.job.ID] == nil {
-			found[u.job.ID] = &OverLimit{Job: u.job.ID, Account: u.job.ClientAccount, Reason: err.Error()}
+			found[u.job.ID] = &JobOverLimit{Job: u.job.ID, Account: u.job.ClientAccount, Reason: err.Error()}
 		}
 		found[u.job.ID].Units++
 	}
-	list := make([]OverLimit, 0, len(found))
+	list := make([]JobOverLimit, 0, len(found))
 	for _, job := range found {
 		list = append(list, *job)
 	}
-	slices.SortFunc(list, func(a, b OverLimit) int { return cmp.Compare(a.Job, b.Job) })
+	slices.SortFunc(list, func(a, b JobOverLimit) int { return cmp.Compare(a.Job, b.Job) })
 	return list
 }
--- a/core/planner/overlimit_test.go
+++ b/core/planner/overlimit_test.go
@@ -27,10 +27,10 @@
 			{Tasks: 9, Gang: true, Needs: resources.Amounts{Accelerators: 4}, After: []int{0}},
 		}}, now)
 	}
-	qt.Check(t, p.OverLimit(), qt.HasLen, 0)
+	qt.Check(t, p.JobsOverLimit(), qt.HasLen, 0)
 	next := *testPolicy()
 	next.Accounts = append(next.Accounts, policy.Account{Name: "limited", Limit: resources.Amounts{Accelerators: 7}})
 	p.SetPolicy(&next)
-	qt.Check(t, p.OverLimit(), qt.DeepEquals, []OverLimit{{Job: "a", Account: "limited", Units: 1,
+	qt.Check(t, p.JobsOverLimit(), qt.DeepEquals, []JobOverLimit{{Job: "a", Account: "limited", Units: 1,
 		Reason: "the gang needs 8 accelerators, the limit is 7: " + graph.ErrOverLimit.Error()}})
 }
--- a/io/coordinator/accountmetrics.go
+++ b/io/coordinator/accountmetrics.go
@@ -16,7 +16,7 @@
 }
 
 // setAccounts publishes a reading; an empty one removes the metrics of all accounts.
-func (m *Metrics) setAccounts(usages []planner.AccountUsage, over []planner.OverLimit) {
+func (m *Metrics) setAccounts(usages []planner.AccountUsage, over []planner.JobOverLimit) {
 	if len(usages) == 0 {
 		m.accounts.Store(nil)
 		return
--- a/io/coordinator/accounts.go
+++ b/io/coordinator/accounts.go
@@ -55,11 +55,11 @@
 		w.update(nil, nil, now)
 		return
 	}
-	w.update(t.planner.AccountUsage(), t.planner.OverLimit(), now)
+	w.update(t.planner.AccountUsage(), t.planner.JobsOverLimit(), now)
 }
 
 // update takes a reading of the usage of accounts, and of the jobs that wait for a higher limit.
-func (w *accountWatch) update(usages []planner.AccountUsage, over []planner.OverLimit, now time.Time) {
+func (w *accountWatch) update(usages []planner.AccountUsage, over []planner.JobOverLimit, now time.Time) {
 	w.config.Metrics.setAccounts(usages, over)
 	lines := 0
 	present := map[account.Name]bool{}
@@ -106,7 +106,7 @@
 }
 
 // updateOver logs the jobs that wait for a higher limit, each once.
-func (w *accountWatch) updateOver(over []planner.OverLimit) {
+func (w *accountWatch) updateOver(over []planner.JobOverLimit) {
 	known := w.over
 	w.over = map[graph.ID]bool{}
 	lines := 0
--- a/io/coordinator/accounts_test.go
+++ b/io/coordinator/accounts_test.go
@@ -70,7 +70,7 @@
 // TestJobsOverLimitLines checks that each job that waits for a higher limit is named once.
 func TestJobsOverLimitLines(t *testing.T) {
 	w, log, set := newTestAccountWatch()
-	over := []planner.OverLimit{{Job: "j", Account: "a", Units: 3, Reason: "too large"}}
+	over := []planner.JobOverLimit{{Job: "j", Account: "a", Units: 3, Reason: "too large"}}
 	usages := []planner.AccountUsage{usageOf("a", 0, 0, 3)}
 	w.update(usages, over, time.Unix(1000, 0))
 	w.update(usages, over, time.Unix(1001, 0))
