core/speed: keep the uncertainty that compared workers share

Gangs in one rack compare its workers only with each other, so their common level stays unknown however many gangs run. The estimates took each gang for new evidence: after a minute of the planner's test, a rack with an error of 0.27 had a deviation of 0.04. The variance now has a part that is shared by compared workers, which only other workers reduce.

--- a/core/speed/state.go
+++ b/core/speed/state.go
@@ -29,6 +29,8 @@
 	// mean and variance describe the log speed at the time updatedAt.
 	mean, variance float64
 	updatedAt      time.Time
+	// shared is the part of the variance that the workers compared with this one have in common.
+	shared float64
 	// observedAt is the time of the last observation, samples the number of all.
 	observedAt time.Time
 	samples    int
@@ -82,6 +84,19 @@
 	s.earlier, s.surprises = nil, 0
 }
 
+// correct moves the estimate towards the observed rate. The errors of the estimate and of the common effect that are
+// shared by the compared workers are the same error in the worst case, and then don't cancel out.
+func (s *state) correct(t *term, common Common) {
+	total := (s.variance + t.variance) / t.trust
+	gain := s.variance / total
+	s.mean += gain * t.residual(common)
+	own, noise := s.variance-s.shared, total-s.variance
+	shared := (1-gain)*math.Sqrt(s.shared) + gain*math.Sqrt(common.Variance)
+	after := (1-gain)*(1-gain)*own + gain*gain*noise + shared*shared
+	s.variance = min(s.variance, after)
+	s.shared = min(shared*shared, s.variance)
+}
+
 // changes updates the estimate and returns true if the rate is the last of enough signs of a changed speed.
 func (s *state) changes(t *term, common Common, at time.Time) bool {
 	error2 := t.variance + common.Variance
@@ -112,6 +127,6 @@
 		s.earlier, s.changedAt = &Common{Mean: s.mean, Variance: s.variance}, at
 	}
 	s.surprises = 0
-	s.mean, s.variance = t.Log-common.Mean, error2
+	s.mean, s.variance, s.shared = t.Log-common.Mean, error2, common.Variance
 	return true
 }
