Planner: place units by the learned speeds of workers

One slow member makes an urgent gang late, and isSlow excluded gangs and knew only yes or no. With Settings.LearnSpeeds (section Learning, key Speeds; absent or off leaves every decision as it was) the planner learns from the progress that members of a gang report, and from independent tasks of a step. A unit gets the slowest workers that are fast enough for its objective; among racks, the one whose chosen workers are most probably fast enough. Units of other queues take slow workers first, also in racks that are kept free, so the fast ones stay free for urgent gangs.

--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -84,6 +84,7 @@
 	case EndDone:
 		m.worker.health.succeeded()
 		p.observeDuration(m, now)
+		p.watchEnd(m, now)
 		p.estimator.observe(m.unit.job.Queue, m.unit.spec().Estimate, now.Sub(m.unit.startedAt))
 	case EndFailed:
 		m.worker.health.failed(m.unit.job.ID, now)
--- a/core/planner/group.go
+++ b/core/planner/group.go
@@ -52,6 +52,9 @@
 		return nil
 	}
 	candidates := p.candidates(newSearch(r, u, n), p.outsideHeadroom(u, spare))
+	if p.speeds != nil {
+		return p.fillBySpeed(u, candidates, n, r.now)
+	}
 	if u.job.queue.Priority > 0 {
 		return p.fill(candidates, n)
 	}
@@ -67,7 +70,7 @@
 		return (*worker).free
 	}
 	return func(w *worker) resources.Amounts {
-		if spare.keptFree[w.Rack] {
+		if spare.keptFree[w.Rack] && !p.isSlowForUrgent(w, p.now) {
 			return resources.Amounts{}
 		}
 		return w.free()
--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -86,7 +86,7 @@
 
 // computeSpare returns the capacity of a service that is available to units that are not urgent.
 func (p *Planner) computeSpare(service string, now time.Time) *spareCapacity {
-	var total, free int64
+	var total, free, slow int64
 	racks := map[endpoint.Rack]int64{}
 	for _, w := range p.workersByName {
 		if w.Service != service || !p.accepts(w, now) {
@@ -95,13 +95,22 @@
 		total += w.Capacity.Accelerators
 		available := w.usableAccelerators()
 		free += available
+		if p.isSlowForUrgent(w, now) {
+			slow += available
+			continue
+		}
 		racks[w.Rack] += available
 	}
 	if !p.hasUrgentQueue(service) || !p.prefersUrgent() {
 		return &spareCapacity{available: free, ceiling: total}
 	}
 	target := p.headroom.target(total, now)
-	return &spareCapacity{available: free - target, ceiling: total - target, keptFree: freestRacks(racks, target)}
+	available := free - target
+	if slow > 0 {
+		// Urgent units don't need the workers that are too slow for them.
+		available = max(available, slow)
+	}
+	return &spareCapacity{available: available, ceiling: total - target, keptFree: freestRacks(racks, target)}
 }
 
 // freestRacks returns the racks with the most free accelerators: as many racks as are needed to have the wanted number
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -5,6 +5,7 @@
 
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
+	"auburnstack/core/speed"
 )
 
 // jobState is a job with its units and its current state.
@@ -30,6 +31,8 @@
 	stopCounts map[StopReason]int
 	// durations holds the durations of the finished tasks of each step.
 	durations map[stepKey]*durations
+	// rates holds, for each step, what its independent tasks show about the rate of a task on the typical worker.
+	rates map[stepKey]speed.Common
 }
 
 // Submit adds an accepted job. It has no effect if the planner already has the job.
--- a/core/planner/observe.go
+++ b/core/planner/observe.go
@@ -139,6 +139,7 @@
 	}
 	m.reading = run.Reading
 	m.observePercent(run.Percent, now)
+	p.watchProgress(m, run.Percent, now)
 	if !m.unit.job.started {
 		m.unit.job.started = true
 	}
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -11,6 +11,7 @@
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
 	"auburnstack/core/roster"
+	"auburnstack/core/speed"
 )
 
 // Settings holds the time limits and factors that apply to one site.
@@ -29,6 +30,8 @@
 	EarlyStart time.Duration
 	// RetainFinal is the time for which the planner keeps the state of a job after the job has ended.
 	RetainFinal time.Duration
+	// LearnSpeeds makes the planner estimate the relative speeds of workers and place units accordingly.
+	LearnSpeeds bool
 	// Order and Fit are nil in production. Experiments set them to compare the production policies with baselines.
 	Order Order
 	Fit   Fit
@@ -97,6 +100,8 @@
 	// headroom determines the capacity that is kept free for urgent jobs.
 	headroom      headroom
 	ratioVariance ratioVariance
+	// speeds estimates the speeds of workers. It is nil unless Settings.LearnSpeeds is set.
+	speeds *speed.Model
 	// sizes holds, for each worker size, the largest number of workers of that size that were registered at the same
 	// time. firstListed is the time at which the planner received the first list of workers.
 	sizes       map[roster.Size]int
@@ -107,7 +112,7 @@
 
 // New returns a planner without workers and jobs.
 func New(settings Settings, p *policy.Policy) *Planner {
-	return &Planner{
+	planner := &Planner{
 		settings:         settings,
 		policy:           p,
 		workers:          map[endpoint.Name]*worker{},
@@ -124,6 +129,10 @@
 		estimator:        newEstimator(),
 		examineLimit:     maxExamined,
 	}
+	if settings.LearnSpeeds {
+		planner.speeds = speed.New()
+	}
+	return planner
 }
 
 // SetPolicy replaces the policy in force, which is the operators' configuration. Jobs that the planner already has keep
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -73,6 +73,8 @@
 	triedIn uint64
 	// recordVersion is the version of the part that contains the newest placement.
 	recordVersion uint64
+	// watch follows the progress of the newest run; nil if its workers' speeds are not learned from it.
+	watch *watch
 }
 
 func (u *unit) spec() *graph.Step {
--- a/core/planner/worker.go
+++ b/core/planner/worker.go
@@ -6,6 +6,7 @@
 	"auburnstack/core/endpoint"
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
+	"auburnstack/core/speed"
 )
 
 // worker is the planner's state of one worker.
@@ -45,7 +46,10 @@
 	rejectedUntil time.Time
 	health        health
 	durationRatio durationRatio
-	pacing        pacing
+	// machine identifies the worker in the model of speeds, speed is its newest estimate.
+	machine speed.Worker
+	speed   speedView
+	pacing  pacing
 	// pacesFillers is set while filler tasks run on the worker together with tasks that have a tail latency target.
 	pacesFillers bool
 	// retired is set while the worker must get no new tasks because its machine is due for upkeep.
@@ -95,6 +99,9 @@
 	w.setRemaining(&info, now)
 	changedKind := !sameKind(&w.Worker, &info)
 	w.Worker = info
+	if p.speeds != nil {
+		w.machine = machineOf(w)
+	}
 	w.registered, w.absentSince = true, time.Time{}
 	if changedKind {
 		p.withdrawUnsuited(w, now)
