bench/graphs: workers of several speeds, heavy tails, useless estimates; the variant speeds

The members of a gang now report their own progress, as on the platform, and workers report at different times. Patterns: three-speeds (0.6, 1.0, 1.6 in random order) at full and half load, with heavy tails and useless estimates, with a fifth of the workers slow for 6 s, and the same with workers alike.

--- a/bench/graphs/execution.go
+++ b/bench/graphs/execution.go
@@ -80,6 +80,10 @@
 			}
 			m.advance(r)
 			r.rate = 1 / slowest
+			r.ownRate = 1 / w.slowdown
+			if job.job.Steps[0].SameRack && len(racks) > 1 {
+				r.ownRate /= remoteFactor
+			}
 			if stalled {
 				r.rate = 0
 			}
@@ -92,6 +96,7 @@
 func (m *simulation) advance(r *run) {
 	if r.begun && m.now.After(r.updatedAt) {
 		r.doneWork += time.Duration(float64(m.now.Sub(r.updatedAt)) * r.rate)
+		r.ownWork += time.Duration(float64(m.now.Sub(r.updatedAt)) * r.ownRate)
 		r.updatedAt = m.now
 	}
 }
@@ -103,7 +108,7 @@
 		return
 	}
 	j := m.jobs[r.Task.Job]
-	remaining, kind := j.work-r.savedWork, planner.EndDone
+	remaining, kind := j.workOf(r.Task)-r.savedWork, planner.EndDone
 	if r.fails {
 		remaining, kind = remaining/2, planner.EndFailed
 	}
@@ -195,7 +200,14 @@
 // progress returns the work that a run has done, including the work in its checkpoint.
 func (m *simulation) progress(j *simulatedJob, r *run) time.Duration {
 	m.advance(r)
-	return min(r.savedWork+r.doneWork, j.work)
+	return min(r.savedWork+r.doneWork, j.workOf(r.Task))
+}
+
+// reportedPercent returns the progress that a run reports. The members of a gang report their own progress, although
+// they end together.
+func (m *simulation) reportedPercent(r *run) int {
+	m.advance(r)
+	return int(100 * (r.savedWork + r.ownWork) / m.jobs[r.Task.Job].workOf(r.Task))
 }
 
 // report renews the worker's lease and tells the planner which runs are on the worker and which have ended since the
@@ -207,7 +219,7 @@
 	for _, r := range w.runs {
 		percent := 0
 		if !w.stalled {
-			percent = int(100 * m.progress(m.jobs[r.Task.Job], r) / m.jobs[r.Task.Job].work)
+			percent = m.reportedPercent(r)
 		}
 		o.Runs = append(o.Runs, planner.RunningTask{Task: r.Task, Run: r.Run, Percent: min(percent, 99)})
 	}
--- a/bench/graphs/load.go
+++ b/bench/graphs/load.go
@@ -42,8 +42,19 @@
 	// stalled is the share of the workers on which tasks make no progress.
 	slow, failing, stalled float64
 	slowFrom, slowTo       time.Duration
+	// speeds holds the relative speeds of the workers, in random order and in equal numbers, in place of those of the
+	// site.
+	speeds []float64
+	// taskSpread is the standard deviation of the logarithm of the durations of independent tasks of one step, on workers
+	// of equal speed. Each of these tasks, and each gang, takes heavyFactor times as long with the probability heavy.
+	taskSpread, heavy float64
+	// estimateError replaces the estimate error of the kinds of jobs if it is greater than 0.
+	estimateError float64
 }
 
+// heavyFactor is the factor by which the longest tasks exceed the others.
+const heavyFactor = 7
+
 func steady(*jobKind, time.Duration) float64 { return 1 }
 
 // rateDuring returns a rate function that multiplies the arrival rate of the kinds with the given priority by the given
@@ -57,6 +68,11 @@
 	}
 }
 
+func halfRate(*jobKind, time.Duration) float64 { return 0.5 }
+
+// threeSpeeds holds the speeds that the machines of one deployment have, a third of them each.
+var threeSpeeds = []float64{0.6, 1, 1.6}
+
 func patterns() []pattern {
 	const from, to = 15 * time.Second, 25 * time.Second
 	return []pattern{
@@ -71,6 +87,21 @@
 		{name: "failing-workers", rate: steady, failing: 0.1},
 		{name: "stalled-workers", rate: steady, stalled: 0.1},
 		{name: "slow-workers", rate: steady, slow: 0.2, slowFrom: from, slowTo: to},
+		{name: "three-speeds", rate: steady, speeds: threeSpeeds},
+		{name: "three-speeds-half", rate: halfRate, speeds: threeSpeeds},
+		{
+			name: "three-speeds-tails", rate: steady, speeds: threeSpeeds, taskSpread: 0.21, heavy: 0.03,
+			estimateError: 1.2,
+		},
+		{name: "alike-tails", rate: steady, speeds: []float64{1}, taskSpread: 0.21, heavy: 0.03, estimateError: 1.2},
+		{
+			name: "alike-slow-6s", rate: steady, speeds: []float64{1}, slow: 0.2, slowFrom: from,
+			slowTo: from + 6*time.Second,
+		},
+		{
+			name: "three-speeds-slow-6s", rate: steady, speeds: threeSpeeds, slow: 0.2, slowFrom: from,
+			slowTo: from + 6*time.Second,
+		},
 		{name: "slow-all-day", rate: steady, slow: 0.2, slowFrom: time.Second, slowTo: loadDuration + settleTime},
 	}
 }
@@ -83,6 +114,8 @@
 	kind *jobKind
 	// work is the true duration of each task on a healthy worker with slowdown 1.
 	work time.Duration
+	// factors holds, for each task, the ratio of its true duration to work; empty if all are 1.
+	factors []float64
 	// cancelAfter is the time from submission to cancellation, 0 for jobs that are not canceled.
 	cancelAfter time.Duration
 	poisoned    bool
@@ -125,7 +158,11 @@
 	tasks := clamp(int(math.Round(width*spread)), 1, k.maxWidth)
 	work := time.Duration(float64(k.work) * max(0.2, 1+durationSpread*random.NormFloat64()))
 	work = min(work, k.maxWork)
-	estimate := time.Duration(float64(work) * math.Exp(k.estimateError*random.NormFloat64()))
+	estimateError := k.estimateError
+	if p.estimateError > 0 {
+		estimateError = p.estimateError
+	}
+	estimate := time.Duration(float64(work) * math.Exp(estimateError*random.NormFloat64()))
 	if exact {
 		estimate = work
 	}
@@ -136,6 +173,7 @@
 	step.SameRack = step.Gang && random.Float64() < k.sameRack
 	step.Needs.Accelerators = k.accelerators[random.IntN(len(k.accelerators))]
 	a := arrival{at: at, kind: k, work: work, job: &graph.Job{Queue: k.queue, Steps: []graph.Step{step}}}
+	a.drawFactors(random, p)
 	if k.priority > 0 && random.Float64() < p.canceled {
 		a.cancelAfter = time.Duration(random.Int64N(int64(3 * k.work)))
 	}
@@ -145,6 +183,34 @@
 	return a
 }
 
+// drawFactors draws the heavy tail and the differences between independent tasks. A gang's tasks have equal work.
+func (a *arrival) drawFactors(random *rand.Rand, p *pattern) {
+	if p.heavy == 0 {
+		return
+	}
+	if a.job.Steps[0].Gang {
+		if random.Float64() < p.heavy {
+			a.work *= heavyFactor
+		}
+		return
+	}
+	for range a.job.Steps[0].Tasks {
+		factor := math.Exp(p.taskSpread * random.NormFloat64())
+		if random.Float64() < p.heavy {
+			factor *= heavyFactor
+		}
+		a.factors = append(a.factors, factor)
+	}
+}
+
+// workOf returns the true duration of a task on a worker with slowdown 1.
+func (a *arrival) workOf(task graph.TaskID) time.Duration {
+	if len(a.factors) == 0 {
+		return a.work
+	}
+	return time.Duration(float64(a.work) * a.factors[task.Index])
+}
+
 func clamp(n, low, high int) int {
 	return max(low, min(n, high))
 }
--- a/bench/graphs/main.go
+++ b/bench/graphs/main.go
@@ -37,11 +37,14 @@
 	exactEstimates bool
 	// noFaults removes slow, failing and stalled workers from the pattern.
 	noFaults bool
+	// learnSpeeds makes the planner learn the speeds of workers.
+	learnSpeeds bool
 }
 
 func variants() []variant {
 	return []variant{
 		{name: "product"},
+		{name: "speeds", learnSpeeds: true},
 		{name: "arrival", order: planner.ByArrival{}},
 		{name: "shortest", order: planner.ByWork{}},
 		{name: "objective", order: planner.ByObjective{}},
--- a/bench/graphs/simulation.go
+++ b/bench/graphs/simulation.go
@@ -59,6 +59,10 @@
 	// fails is set if the run is to fail when it has done half of the work that remained after its checkpoint.
 	rate  float64
 	fails bool
+	// ownRate and ownWork are what the rate and the done work were if the run did not wait for the other members of its
+	// gang.
+	ownRate float64
+	ownWork time.Duration
 	// endVersion is the number of times that the end of the run was scheduled. Only the end that was scheduled last
 	// takes effect.
 	endVersion int
@@ -121,8 +125,9 @@
 }
 
 func (m *simulation) addWorkers() {
+	slowdowns := m.slowdowns()
 	for i, info := range m.site.roster() {
-		w := &worker{Worker: info, slowdown: m.site.slowdowns[i%len(m.site.slowdowns)], runs: map[graph.TaskID]*run{}}
+		w := &worker{Worker: info, slowdown: slowdowns[i], runs: map[graph.TaskID]*run{}}
 		// One draw per worker, so that a worker has at most one kind of fault.
 		draw := m.random.Float64()
 		switch p := m.pattern; {
@@ -142,6 +147,22 @@
 	}
 }
 
+// slowdowns returns the slowdown of each worker.
+func (m *simulation) slowdowns() []float64 {
+	var list []float64
+	for i := range m.site.workers {
+		if speeds := m.pattern.speeds; len(speeds) > 0 {
+			list = append(list, 1/speeds[i%len(speeds)])
+		} else {
+			list = append(list, m.site.slowdowns[i%len(m.site.slowdowns)])
+		}
+	}
+	if len(m.pattern.speeds) > 0 {
+		m.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return list
+}
+
 func (m *simulation) updateWorkers() {
 	var list []roster.Worker
 	for _, name := range m.names {
@@ -170,8 +191,9 @@
 // onTick sends the reports of the workers if they are due, takes a sample of the accelerators, calls the planner's
 // Tick, and schedules its own next call.
 func (m *simulation) onTick() {
-	if m.now.Sub(epoch)%reportInterval == 0 {
-		for _, name := range m.names {
+	for i, name := range m.names {
+		offset := time.Duration(i) * tickInterval % reportInterval
+		if (m.now.Sub(epoch)+offset)%reportInterval == 0 {
 			m.report(m.workers[name])
 		}
 	}
--- a/bench/graphs/site.go
+++ b/bench/graphs/site.go
@@ -144,6 +144,7 @@
 	return planner.Settings{
 		LeaseLimit: 10 * time.Second, StopTime: s.stopTime, RemoteFactor: remoteFactor,
 		EarlyStart: 250 * time.Millisecond, RetainFinal: time.Hour, Order: v.order, Fit: v.fit,
+		LearnSpeeds: v.learnSpeeds,
 	}
 }
 
