Keep the learned speeds across changes of leader

A new leader began without any knowledge. The leader now writes a summary of up to 2,000 workers, those observed last, to auburnstack/learned/speeds: at most every 5 s, only after a noticeable change, conditional on its own key alone. A new leader reads it after its records, within 1 s; an absent, old, malformed or unavailable summary is logged and skipped. Metrics: auburnstack_workers_by_speed and auburnstack_learned_writes_total; a log line a minute.

--- a/io/coordinator/control.go
+++ b/io/coordinator/control.go
@@ -75,6 +75,7 @@
 			t.history.next(time.Now())
 			t.publishCounts()
 			t.removeOldJobs(ctx)
+			t.storeLearned(ctx, time.Now())
 		case <-t.pacer.timer.C:
 		}
 		start := time.Now()
--- a/io/coordinator/metrics.go
+++ b/io/coordinator/metrics.go
@@ -81,6 +81,18 @@
 	m.increment(`auburnstack_registrations_removed_total{departure=%q}`, departure.String())
 }
 
+// learnedStored counts a write of the learned speeds.
+func (m *Metrics) learnedStored(err error) {
+	m.increment(`auburnstack_learned_writes_total{failed="%t"}`, err != nil)
+}
+
+// speedsLearned sets the numbers of workers by their learned speeds.
+func (m *Metrics) speedsLearned(c planner.SpeedCounts) {
+	for speed, count := range map[string]int{"slow": c.Slow, "unknown": c.Unknown, "normal": c.Normal, "fast": c.Fast} {
+		m.set.GetOrCreateGauge(fmt.Sprintf(`auburnstack_workers_by_speed{speed=%q}`, speed), nil).Set(float64(count))
+	}
+}
+
 func (m *Metrics) flushed(took time.Duration) {
 	m.set.GetOrCreateHistogram(`auburnstack_flush_duration_seconds`).Update(took.Seconds())
 }
--- a/io/coordinator/takeover.go
+++ b/io/coordinator/takeover.go
@@ -62,6 +62,7 @@
 		t.revisions[item.Key] = item.Revision
 	}
 	t.restore(decodeInbox(inbox.Items, t.logSkippedRecord), progress)
+	t.readLearned(ctx)
 	if err := t.readWaves(ctx); err != nil {
 		return 0, err
 	}
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -64,6 +64,7 @@
 	lastProbe   map[domain.Name]time.Time
 	lastRemoval time.Time
 	waves       *upkeep.Tracker
+	learned     learned
 	// reports holds the reports on upkeep waves that are still to be stored.
 	// reportInFlight is set while one of these reports is being stored.
 	reports        []upkeep.Record
