--- a/core/speed/summary_test.go
+++ b/core/speed/summary_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -94,3 +95,21 @@
 		m.Summary(MaxSummary, start)
 	}
 }
+
+// BenchmarkMemory reports the bytes of memory for each of 20,000 known workers.
+func BenchmarkMemory(b *testing.B) {
+	known := newTruth(MaxWorkers, 0.6, 1, 1.6)
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := New()
+		for i, w := range known.workers {
+			m.Observe([]Rate{{w, known.logs[i], 0.1}}, Common{Variance: 0.01}, start)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/MaxWorkers, "bytes/worker")
+		runtime.KeepAlive(m)
+	}
+}
