Planner: services and fillers are placed without regard to learned speeds; deterministic estimates

Long-running tasks of queues that are not urgent would have got the slowest workers first. The needed speed of a task without an estimate was not a number if its deadline had just come. The order in which shared errors were summed was random, so the same reports could lead to other decisions. The property test learns speeds in half of its cases.

--- a/core/planner/group.go
+++ b/core/planner/group.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	candidates := p.candidates(newSearch(r, u, n), p.outsideHeadroom(u, spare))
-	if p.speeds != nil {
+	if p.placedBySpeed(u) {
 		return p.fillBySpeed(u, candidates, n, r.now)
 	}
 	if u.job.queue.Priority > 0 {
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -104,7 +104,7 @@
 // nil rather than spread a unit that asks for a single rack or place a unit outside the rack of its data. It gives slow
 // workers to a unit of priority 0 only if the others do not suffice.
 func (p *Planner) choose(s search, candidates []candidate) []*worker {
-	if p.speeds != nil {
+	if p.placedBySpeed(s.unit) {
 		return p.chooseBySpeed(s, candidates)
 	}
 	if s.unit.job.queue.Priority == 0 {
--- a/core/planner/property_test.go
+++ b/core/planner/property_test.go
@@ -20,8 +20,10 @@
 type simulatedSite struct {
 	t       *rapid.T
 	planner *Planner
-	now     time.Time
-	workers []*roster.Worker
+	// settings are those of every planner of the site. Speeds are learned in half of the cases.
+	settings Settings
+	now      time.Time
+	workers  []*roster.Worker
 	// silent holds the workers that do not answer.
 	silent map[endpoint.Name]bool
 	// running holds, for each worker, the start order of each task that runs there. stopping holds the tasks that were
@@ -71,7 +73,9 @@
 		crashes: map[graph.TaskID]map[graph.Run]bool{}, caused: map[graph.TaskID]map[graph.Run]bool{}, crashAt: map[graph.TaskID]time.Time{},
 		shrunk: map[endpoint.Name]resources.Amounts{},
 	}
-	w.planner = New(testSettings(), testPolicy())
+	w.settings = testSettings()
+	w.settings.LearnSpeeds = rapid.Bool().Draw(t, "learn speeds")
+	w.planner = New(w.settings, testPolicy())
 	w.planner.partTasks = smallPartTasks
 	for i := range 6 {
 		name := endpoint.Name(fmt.Sprintf("worker-%d", i))
@@ -338,7 +342,7 @@
 
 // takeover replaces the planner with a new one that knows only the stored progress.
 func (w *simulatedSite) takeover() {
-	w.planner = New(testSettings(), testPolicy())
+	w.planner = New(w.settings, testPolicy())
 	w.planner.partTasks = smallPartTasks
 	w.setWorkers()
 	for id, job := range w.jobs {
--- a/core/planner/speed_test.go
+++ b/core/planner/speed_test.go
@@ -271,3 +271,22 @@
 	qt.Check(t, count >= 40, qt.IsTrue, qt.Commentf("%v", count))
 	qt.Check(t, rms < 0.1, qt.IsTrue, qt.Commentf("%v", rms))
 }
+
+// TestSpeedSpared guards against services that get the slowest workers because they are not urgent, and against a
+// needed speed that is not a number for tasks without an estimate.
+func TestSpeedSpared(t *testing.T) {
+	s := newSpeedSite(true, 1, 0.6, 1, 1.6)
+	s.play(0.5)
+	job := &graph.Job{ID: "service", Queue: "long", ClientAccount: "x", Accepted: s.now, Steps: []graph.Step{{
+		Tasks: 1, LongRunning: true, Estimate: time.Hour, AbsenceLimit: -1,
+	}}}
+	s.planner.Submit(job, s.now)
+	u := s.planner.jobs["service"].units[0][0][0]
+	qt.Check(t, s.planner.placedBySpeed(u), qt.IsFalse)
+	u.job.Steps[0] = graph.Step{Tasks: 1}
+	qt.Check(t, s.planner.placedBySpeed(u), qt.IsTrue)
+	for _, late := range []time.Duration{0, s.planner.objective(u.job) - startOverhead, time.Minute, -time.Minute} {
+		needed := s.planner.neededSpeed(u, s.now.Add(late))
+		qt.Check(t, needed, qt.Equals, leastSpeed, qt.Commentf("%v", late))
+	}
+}
--- a/core/planner/speedplace.go
+++ b/core/planner/speedplace.go
@@ -81,6 +81,12 @@
 	return v.estimate.Reaches(needed)
 }
 
+// placedBySpeed reports whether the workers of a unit are chosen by their learned speeds. Long-running tasks have no
+// duration, and filler tasks depend on the processor time that other tasks leave.
+func (p *Planner) placedBySpeed(u *unit) bool {
+	return p.speeds != nil && !u.spec().LongRunning && !u.spec().Fills
+}
+
 // neededSpeed returns the relative speed that a unit needs to end within its objective if it starts now, or within
 // lateFactor times the objective if the objective can't be met any more.
 func (p *Planner) neededSpeed(u *unit, now time.Time) float64 {
@@ -96,7 +102,7 @@
 	if left < work/maxSpeed {
 		left = rank.deadline.Add((lateFactor - 1) * objective).Sub(begin).Seconds()
 	}
-	if left < work/maxSpeed {
+	if left <= 0 || left < work/maxSpeed {
 		return least
 	}
 	return max(least, work/left)
--- a/core/speed/model.go
+++ b/core/speed/model.go
@@ -176,17 +176,14 @@
 // share. Gangs that run in one rack compare its workers only with each other, so however many there are, the level of
 // all remains as uncertain as it was after the first.
 func sharedVariance(terms []term, common Common) float64 {
-	type sums struct{ share, shared float64 }
-	racks := map[endpoint.Rack]sums{}
+	shares := map[endpoint.Rack]float64{}
 	for i := range terms {
-		t := &terms[i]
-		share := t.weight() * common.Variance
-		s := racks[t.Worker.Rack]
-		racks[t.Worker.Rack] = sums{share: s.share + share, shared: s.shared + share*t.state.shared}
+		shares[terms[i].Worker.Rack] += terms[i].weight() * common.Variance
 	}
 	variance := 0.0
-	for _, s := range racks {
-		variance += s.share * s.shared
+	for i := range terms {
+		t := &terms[i]
+		variance += shares[t.Worker.Rack] * t.weight() * common.Variance * t.state.shared
 	}
 	return variance
 }
