--- a/bench/graphs/execution.go
+++ b/bench/graphs/execution.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"auburnstack/core/endpoint"
@@ -28,8 +31,8 @@
 		failingIndex = m.random.IntN(len(members))
 	}
 	fails := m.random.Float64() < j.kind.failureRate
-	for r, w := range members {
-		m.begin(w, r, fails && r.Task.Index == failingIndex)
+	for _, r := range inOrder(members) {
+		m.begin(members[r], r, fails && r.Task.Index == failingIndex)
 	}
 	m.reschedule(members)
 }
@@ -72,24 +75,35 @@
 	if job.job.Steps[0].SameRack && len(racks) > 1 {
 		slowest *= remoteFactor
 	}
-	for _, name := range m.names {
-		w := m.workers[name]
-		for r, host := range members {
-			if host != w {
-				continue
-			}
-			m.advance(r)
-			r.rate = 1 / slowest
-			r.ownRate = 1 / w.slowdown
-			if job.job.Steps[0].SameRack && len(racks) > 1 {
-				r.ownRate /= remoteFactor
-			}
-			if stalled {
-				r.rate = 0
-			}
-			m.scheduleEnd(w, r)
+	for _, r := range inOrder(members) {
+		w := members[r]
+		m.advance(r)
+		r.rate = 1 / slowest
+		r.ownRate = 1 / w.slowdown
+		if job.job.Steps[0].SameRack && len(racks) > 1 {
+			r.ownRate /= remoteFactor
 		}
+		if stalled {
+			r.rate = 0
+		}
+		m.scheduleEnd(w, r)
+	}
+}
+
+// orderedRuns returns the runs on the worker sorted by their tasks.
+func (w *worker) orderedRuns() []*run {
+	runs := map[*run]*worker{}
+	for _, r := range w.runs {
+		runs[r] = w
 	}
+	return inOrder(runs)
+}
+
+// inOrder returns runs sorted by their tasks, which makes the simulation deterministic.
+func inOrder(members map[*run]*worker) []*run {
+	return slices.SortedFunc(maps.Keys(members), func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
 }
 
 // advance adds to doneWork the work that a run has done since updatedAt.
@@ -130,7 +144,7 @@
 	}
 	for _, name := range m.names {
 		w := m.workers[name]
-		for _, r := range w.runs {
+		for _, r := range w.orderedRuns() {
 			switch {
 			case !r.begun:
 			case m.jobs[r.Task.Job].job.Steps[0].Gang:
@@ -153,7 +167,8 @@
 		members = m.members(r.Start)
 	}
 	m.end(w, r, kind)
-	for other, host := range members {
+	for _, other := range inOrder(members) {
+		host := members[other]
 		if other == r {
 			continue
 		}
@@ -216,7 +231,7 @@
 	o := planner.Observation{
 		Worker: w.Name, Incarnation: w.Incarnation, Sent: m.now, Clock: time.Duration(m.now.UnixNano()), Ended: w.endedRuns,
 	}
-	for _, r := range w.runs {
+	for _, r := range w.orderedRuns() {
 		percent := 0
 		if !w.stalled {
 			percent = m.reportedPercent(r)
--- a/bench/graphs/simulation.go
+++ b/bench/graphs/simulation.go
@@ -245,7 +245,7 @@
 		if w.FailureDomain != outDomain {
 			continue
 		}
-		for _, r := range w.runs {
+		for _, r := range w.orderedRuns() {
 			m.end(w, r, planner.EndStopped)
 		}
 	}
