Merge the learned speeds of workers

Urgent gangs are placed on workers that are fast enough, by what the progress of gangs' members shows (core/speed).

--- a/bench/graphs/execution.go
+++ b/bench/graphs/execution.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"auburnstack/core/endpoint"
@@ -28,8 +31,8 @@
 		failingIndex = m.random.IntN(len(members))
 	}
 	fails := m.random.Float64() < j.kind.failureRate
-	for r, w := range members {
-		m.begin(w, r, fails && r.Task.Index == failingIndex)
+	for _, r := range inOrder(members) {
+		m.begin(members[r], r, fails && r.Task.Index == failingIndex)
 	}
 	m.reschedule(members)
 }
@@ -72,26 +75,42 @@
 	if job.job.Steps[0].SameRack && len(racks) > 1 {
 		slowest *= remoteFactor
 	}
-	for _, name := range m.names {
-		w := m.workers[name]
-		for r, host := range members {
-			if host != w {
-				continue
-			}
-			m.advance(r)
-			r.rate = 1 / slowest
-			if stalled {
-				r.rate = 0
-			}
-			m.scheduleEnd(w, r)
+	for _, r := range inOrder(members) {
+		w := members[r]
+		m.advance(r)
+		r.rate = 1 / slowest
+		r.ownRate = 1 / w.slowdown
+		if job.job.Steps[0].SameRack && len(racks) > 1 {
+			r.ownRate /= remoteFactor
 		}
+		if stalled {
+			r.rate = 0
+		}
+		m.scheduleEnd(w, r)
+	}
+}
+
+// orderedRuns returns the runs on the worker sorted by their tasks.
+func (w *worker) orderedRuns() []*run {
+	runs := map[*run]*worker{}
+	for _, r := range w.runs {
+		runs[r] = w
 	}
+	return inOrder(runs)
+}
+
+// inOrder returns runs sorted by their tasks, which makes the simulation deterministic.
+func inOrder(members map[*run]*worker) []*run {
+	return slices.SortedFunc(maps.Keys(members), func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
 }
 
 // advance adds to doneWork the work that a run has done since updatedAt.
 func (m *simulation) advance(r *run) {
 	if r.begun && m.now.After(r.updatedAt) {
 		r.doneWork += time.Duration(float64(m.now.Sub(r.updatedAt)) * r.rate)
+		r.ownWork += time.Duration(float64(m.now.Sub(r.updatedAt)) * r.ownRate)
 		r.updatedAt = m.now
 	}
 }
@@ -103,7 +122,7 @@
 		return
 	}
 	j := m.jobs[r.Task.Job]
-	remaining, kind := j.work-r.savedWork, planner.EndDone
+	remaining, kind := j.workOf(r.Task)-r.savedWork, planner.EndDone
 	if r.fails {
 		remaining, kind = remaining/2, planner.EndFailed
 	}
@@ -125,7 +144,7 @@
 	}
 	for _, name := range m.names {
 		w := m.workers[name]
-		for _, r := range w.runs {
+		for _, r := range w.orderedRuns() {
 			switch {
 			case !r.begun:
 			case m.jobs[r.Task.Job].job.Steps[0].Gang:
@@ -148,7 +167,8 @@
 		members = m.members(r.Start)
 	}
 	m.end(w, r, kind)
-	for other, host := range members {
+	for _, other := range inOrder(members) {
+		host := members[other]
 		if other == r {
 			continue
 		}
@@ -195,7 +215,14 @@
 // progress returns the work that a run has done, including the work in its checkpoint.
 func (m *simulation) progress(j *simulatedJob, r *run) time.Duration {
 	m.advance(r)
-	return min(r.savedWork+r.doneWork, j.work)
+	return min(r.savedWork+r.doneWork, j.workOf(r.Task))
+}
+
+// reportedPercent returns the progress that a run reports. The members of a gang report their own progress, although
+// they end together.
+func (m *simulation) reportedPercent(r *run) int {
+	m.advance(r)
+	return int(100 * (r.savedWork + r.ownWork) / m.jobs[r.Task.Job].workOf(r.Task))
 }
 
 // report renews the worker's lease and tells the planner which runs are on the worker and which have ended since the
@@ -204,10 +231,10 @@
 	o := planner.Observation{
 		Worker: w.Name, Incarnation: w.Incarnation, Sent: m.now, Clock: time.Duration(m.now.UnixNano()), Ended: w.endedRuns,
 	}
-	for _, r := range w.runs {
+	for _, r := range w.orderedRuns() {
 		percent := 0
 		if !w.stalled {
-			percent = int(100 * m.progress(m.jobs[r.Task.Job], r) / m.jobs[r.Task.Job].work)
+			percent = m.reportedPercent(r)
 		}
 		o.Runs = append(o.Runs, planner.RunningTask{Task: r.Task, Run: r.Run, Percent: min(percent, 99)})
 	}
--- a/core/planner/place.go
+++ b/core/planner/place.go
@@ -50,6 +50,8 @@
 	// missing holds the amounts by which the unit exceeds what its account's limit leaves. Work of the account that holds
 	// these amounts must be stopped.
 	missing resources.Amounts
+	// exceptSlow is set if workers that are known to be too slow for urgent units are not eligible.
+	exceptSlow bool
 }
 
 func newSearch(r *round, u *unit, tasks int) search {
@@ -83,7 +85,7 @@
 
 // eligible reports whether tasks may run on an accepting worker if it has enough free capacity.
 func (p *Planner) eligible(s search, w *worker) bool {
-	if !s.unit.suits(w) {
+	if !s.unit.suits(w) || s.exceptSlow && p.isSlowForUrgent(w, s.round.now) {
 		return false
 	}
 	if s.unit.advised() && !p.hasPermit(s.unit, w, s.round.now) {
@@ -105,6 +107,9 @@
 // nil rather than spread a unit that asks for a single rack or place a unit outside the rack of its data. It gives slow
 // workers to a unit of priority 0 only if the others do not suffice.
 func (p *Planner) choose(s search, candidates []candidate) []*worker {
+	if p.placedBySpeed(s.unit) {
+		return p.chooseBySpeed(s, candidates)
+	}
 	if s.unit.job.queue.Priority == 0 {
 		fast, _ := p.bySpeed(candidates)
 		if places := p.placeAmong(s, fast); places != nil {
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -12,6 +12,7 @@
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
 	"auburnstack/core/roster"
+	"auburnstack/core/speed"
 )
 
 // Settings holds the time limits and factors that apply to one site.
@@ -30,6 +31,8 @@
 	EarlyStart time.Duration
 	// RetainFinal is the time for which the planner keeps the state of a job after the job has ended.
 	RetainFinal time.Duration
+	// LearnSpeeds makes the planner estimate the relative speeds of workers and place units accordingly.
+	LearnSpeeds bool
 	// Order and Fit are nil in production. Experiments set them to compare the production policies with baselines.
 	Order Order
 	Fit   Fit
@@ -104,6 +107,8 @@
 	// headroom determines the capacity that is kept free for urgent jobs.
 	headroom      headroom
 	ratioVariance ratioVariance
+	// speeds estimates the speeds of workers. It is nil unless Settings.LearnSpeeds is set.
+	speeds *speed.Model
 	// sizes holds, for each worker size, the largest number of workers of that size that were registered at the same
 	// time. firstListed is the time at which the planner received the first list of workers.
 	sizes       map[roster.Size]int
@@ -133,6 +138,9 @@
 		examineLimit:     maxExamined,
 	}
 	planner.applyAccounts()
+	if settings.LearnSpeeds {
+		planner.speeds = speed.New()
+	}
 	return planner
 }
 
--- a/io/coordinator/control.go
+++ b/io/coordinator/control.go
@@ -76,6 +76,7 @@
 			t.publishCounts()
 			t.watchAccounts(time.Now())
 			t.removeOldJobs(ctx)
+			t.storeLearned(ctx, time.Now())
 		case <-t.pacer.timer.C:
 		}
 		start := time.Now()
--- a/io/coordinator/takeover.go
+++ b/io/coordinator/takeover.go
@@ -63,6 +63,7 @@
 		progress[record.ID] = whole
 	}
 	t.restore(decodeInbox(inbox.Items, t.logSkippedRecord), progress)
+	t.readLearned(ctx)
 	if err := t.readWaves(ctx); err != nil {
 		return 0, err
 	}
