--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -267,7 +267,7 @@
 // tryRecord submits a placement for storage if its workers have enough free capacity for all of its tasks, and if the
 // limit of its account allows its start.
 func (p *Planner) tryRecord(u *unit) {
-	if !u.job.holding.allowsRecord(u.needs()) {
+	if h := u.job.holding; h.limited && !h.allowsRecord(u.needs()) {
 		return
 	}
 	needs := u.spec().Reserved()
