Planner: headroom counts urgent demand of an account up to its limit

Urgent jobs beyond their account's limit kept accelerators free, up to 45 percent of all, that they could not use. The demand of an account with a limit now counts for at most the limit. TestHeadroomOfLimitedAccount fails without the bound (then 36 of 80 accelerators).

go test ./... in core passes.

--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"auburnstack/core/endpoint"
-	"auburnstack/core/graph"
 )
 
 const (
@@ -30,18 +29,19 @@
 // arrival is the number of accelerators that an urgent job asked for when it arrived.
 type arrival struct {
 	at           time.Time
+	holding      *holding
 	accelerators int64
 }
 
 // recordArrival records the number of accelerators that an urgent job asks for in the steps that can start at once.
-func (h *headroom) recordArrival(job *graph.Job, now time.Time) {
+func (h *headroom) recordArrival(job *jobState, now time.Time) {
 	var sum int64
 	for i := range job.Steps {
 		if len(job.Steps[i].After) == 0 {
 			sum += job.Steps[i].Needs.Accelerators * int64(job.Steps[i].Tasks)
 		}
 	}
-	h.arrivals = append(h.arrivals, arrival{at: now, accelerators: sum})
+	h.arrivals = append(h.arrivals, arrival{at: now, holding: job.holding, accelerators: sum})
 }
 
 // target returns the number of accelerators to keep free, given the total number of accelerators of a service.
@@ -50,13 +50,30 @@
 		h.arrivals = h.arrivals[1:]
 	}
 	var sum int64
+	var limited map[*holding]int64
 	for _, a := range h.arrivals {
-		sum += a.accelerators
+		if !a.holding.limited {
+			sum += a.accelerators
+			continue
+		}
+		if limited == nil {
+			limited = map[*holding]int64{}
+		}
+		limited[a.holding] += a.accelerators
+	}
+	cover := coverOf(sum)
+	for account, sum := range limited {
+		// The account can use no more than its limit, however much it asks for.
+		cover += min(coverOf(sum), account.bound().Accelerators)
 	}
-	cover := int64(float64(sum) * headroomCover.Seconds() / headroomWindow.Seconds())
 	return max(int64(minHeadroom*float64(total)), min(cover, int64(maxHeadroom*float64(total))))
 }
 
+// coverOf returns the number of accelerators that satisfy the demand of headroomWindow for headroomCover.
+func coverOf(demand int64) int64 {
+	return int64(float64(demand) * headroomCover.Seconds() / headroomWindow.Seconds())
+}
+
 // spareCapacity limits how many accelerators of a service may be used by units that are not urgent.
 type spareCapacity struct {
 	// available is the number of accelerators that units that are not urgent may take now. ceiling is the number of
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -44,7 +44,7 @@
 	j := p.addJob(job)
 	p.admitArrival(j)
 	if j.queue.Priority == 0 {
-		p.headroom.recordArrival(job, now)
+		p.headroom.recordArrival(j, now)
 	}
 	p.unblock(j, now)
 	p.needsPlacement = true
--- a/core/planner/limit_test.go
+++ b/core/planner/limit_test.go
@@ -313,6 +313,18 @@
 	qt.Check(t, actions[0].(Consult).Step.Job, qt.Equals, graph.ID("b"))
 }
 
+// TestHeadroomOfLimitedAccount guards against accelerators that are kept free for urgent jobs that the limit of their
+// account does not allow, while other accounts wait for them.
+func TestHeadroomOfLimitedAccount(t *testing.T) {
+	p, _, now := newLimitedPlanner(limitedPolicy("gold", 8), 10)
+	for i := range 20 {
+		p.Submit(simpleJob(fmt.Sprintf("hot-%02d", i), "urgent", "gold", 1, 8, now), now)
+	}
+	qt.Check(t, p.headroom.target(80, now), qt.Equals, int64(8))
+	p.Submit(simpleJob("other", "urgent", "silver", 1, 8, now), now)
+	qt.Check(t, p.headroom.target(80, now), qt.Equals, int64(8+6))
+}
+
 // workerOf returns the worker of a job's first task.
 func workerOf(p *Planner, id graph.ID) endpoint.Name {
 	return p.jobs[id].units[0][0][0].members[0].worker.Name
