--- a/io/coordinator/capacity_test.go
+++ b/io/coordinator/capacity_test.go
@@ -27,14 +27,15 @@
 	starts []planner.Action
 }
 
+// testQueues are the queues of a capacityTerm.
+var testQueues = []policy.Queue{{Name: "urgent", Service: "assay"}, {Name: "long", Service: "assay", Priority: 1}}
+
 func newCapacityTerm(t *testing.T) *capacityTerm {
 	w := &scriptedWorker{answers: []func() (runner.HoldReply, error){reply(1, 0)}}
 	c := &capacityTerm{term: newTestTerm(w), t: t, worker: w, info: roster.Worker{
 		Name: "w", Service: "assay", Incarnation: 1, Capacity: resources.Amounts{Accelerators: 2}, Labels: []string{"a"},
 	}}
-	c.planner = planner.New(c.config.Settings, &policy.Policy{Queues: []policy.Queue{
-		{Name: "urgent", Service: "assay"}, {Name: "long", Service: "assay", Priority: 1},
-	}})
+	c.planner = planner.New(c.config.Settings, &policy.Policy{Queues: testQueues})
 	c.link = newLink(c.term, c.info)
 	c.links["w"] = c.link
 	c.orders = newOrders(c.role.Context(), c.term)
@@ -49,7 +50,7 @@
 
 // submit submits a job whose tasks need one accelerator each.
 func (c *capacityTerm) submit(id graph.ID, queue string, tasks int) {
-	c.planner.Submit(&graph.Job{ID: id, Queue: queue, Accepted: time.Now(), Steps: []graph.Step{{
+	c.planner.Submit(&graph.Job{ID: id, ClientAccount: "owner", Queue: queue, Accepted: time.Now(), Steps: []graph.Step{{
 		Tasks: tasks, Needs: resources.Amounts{Accelerators: 1}, Label: "a", Estimate: time.Second, AbsenceLimit: -1,
 	}}}, time.Now())
 }
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -136,7 +136,7 @@
 		}
 	}
 	l, linked := o.term.links[key.worker]
-	if !linked || !o.term.role.Valid() || key.kind == startOrder && !o.term.mayStart(l) {
+	if !linked || !o.term.role.Valid() || !o.maySend(l, entry.action) {
 		entry.nextTry = time.Now().Add(orderRetryPause)
 		return
 	}
@@ -154,6 +154,13 @@
 	})
 }
 
+// maySend reports whether an order may be sent to a worker now. A start may not if it could exceed the limit of its
+// account: the run of a repeated start may not exist yet.
+func (o *orders) maySend(l *link, action planner.Action) bool {
+	a, isStart := action.(planner.Start)
+	return !isStart || o.term.mayStart(l) && !o.term.planner.OverLimit(a)
+}
+
 // mayStart reports whether a start may be sent to a worker. A repeated start may not if it could bring the worker over
 // its capacity, because the run may not exist yet: the worker's next report settles that.
 func (t *term) mayStart(l *link) bool {
