Bound what decoding submissions, registrations and heartbeats allocates

Cause: package encoding/json builds every item of a list before the job is checked, and goes on after a value of the wrong type with an error for each. A body of 262,142 bytes made it allocate 156,084,688. The protocol buffers of a heartbeat allocate a hundred bytes for an empty entry of two.

Change: io/decoding checks depth, fields, items and the length of texts in one pass without allocation, and then decodes with github.com/go-json-experiment/json, which stops at the first value of a wrong type; fuzzing compares its values with those of encoding/json. The codec of the relay counts the entries of a heartbeat before it decodes them.

--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"time"
@@ -17,6 +16,7 @@
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
+	"auburnstack/io/decoding"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay/relaypb"
 	"auburnstack/io/rpcserver"
@@ -39,7 +39,8 @@
 
 // NewServer starts a server that passes the messages received on a listener to a handler.
 func NewServer(listener net.Listener, handler Handler, log hclog.Logger) *Server {
-	s := &Server{rpc: rpcserver.New(log, grpc.MaxRecvMsgSize(maxMessage)), done: make(chan struct{})}
+	s := &Server{done: make(chan struct{})}
+	s.rpc = rpcserver.New(log, grpc.MaxRecvMsgSize(maxMessage), grpc.ForceServerCodecV2(newBoundedCodec()))
 	relaypb.RegisterRelayServer(s.rpc, &service{handler: handler})
 	go func() {
 		defer close(s.done)
@@ -129,7 +130,7 @@
 		return snapshot, nil
 	}
 	snapshot.Policy = &policy.Policy{}
-	return snapshot, errors.WithStack(json.Unmarshal(message.GetPolicy(), snapshot.Policy))
+	return snapshot, decoding.Unmarshal(message.GetPolicy(), snapshot.Policy, decoding.Dense)
 }
 
 func decodeMember(message *relaypb.Member) (Member, error) {
