Bound the memory that jobs take at the leader

Cause: any VM accepts any number of jobs of the largest legal size, and the leader holds all of them. 60 jobs of 8,192 tasks took the leader to 236 MB; its limit in the test is 96 MB.

Change: graph.Job.Footprint bounds what a leader needs for a job. core/jobmemory derives from MemoryMB what jobs may take (0.45 of it, 0.25 for large ones) and keeps the leader's account of held and admitted jobs. Only the leader accepts jobs above 256 KiB (about 330 tasks); other VMs relay them, and accept small ones within an allowance that comes with each heartbeat. Without room the answer is 503 with Retry-After; a job that is stored already is confirmed. The limit is that of the smallest registered VM, since any VM may become the leader. The process test now tells its worker how long the tasks of its jobs take; without that the stand-in divided by zero. TestSmallerLeader is new.

Measured: 432 to 476 bytes for each waiting task and 1,800 for a job of one task beside its spec (core/planner TestFootprintCoversMemory). TestLargestJobs: 48 MB at the leader (236), 3 of 60 jobs accepted, the small jobs afterwards too.

--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -48,6 +48,7 @@
 func (p *Planner) addJob(job *graph.Job) *jobState {
 	j := p.newJob(job)
 	p.jobs[job.ID] = j
+	p.footprint += job.Footprint()
 	if job.Recurrence != nil {
 		p.recurring[job.ID] = j
 	}
@@ -241,6 +242,7 @@
 	for id, j := range p.jobs {
 		if j.stored.Final() && !j.hasActiveUnits() && now.Sub(j.ended) > p.settings.RetainFinal {
 			delete(p.jobs, id)
+			p.footprint -= j.Footprint()
 			for _, changed := range j.parts {
 				delete(p.dirty, changed)
 				delete(p.storing, changed)
@@ -259,6 +261,11 @@
 	return found
 }
 
+// Footprint returns an upper bound of the bytes that the planner needs to hold its jobs, see graph.Job.Footprint.
+func (p *Planner) Footprint() int64 {
+	return p.footprint
+}
+
 // State returns the state of a job as callers see it, and reports whether the planner has the job. A job whose stored
 // state is not final is Running once it has started.
 func (p *Planner) State(id graph.ID) (graph.State, bool) {
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -51,6 +51,8 @@
 	// anyRetired is set if a worker may be retired. anyAdvised is set if a job may be in a queue with advice.
 	anyRetired, anyAdvised bool
 	jobs                   map[graph.ID]*jobState
+	// footprint is the sum of the footprints of all jobs.
+	footprint int64
 	// recurring holds the recurring jobs that have not ended.
 	recurring map[graph.ID]*jobState
 	// waiting holds the units that can be placed.
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"auburnstack/core/graph"
+	"auburnstack/core/jobmemory"
 	"auburnstack/core/planner"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
@@ -38,8 +39,10 @@
 	Settings  planner.Settings
 	// ValueLimit is the largest size of a value of Store in bytes; 0 means that there is no limit.
 	ValueLimit int
-	Metrics    *Metrics
-	Log        hclog.Logger
+	// Memory is the account of the memory that the jobs take. If it is nil, there is no limit.
+	Memory  *jobmemory.Account
+	Metrics *Metrics
+	Log     hclog.Logger
 }
 
 // Coordinator does the work of the leader during the terms in which its VM leads.
@@ -52,6 +55,9 @@
 
 // New returns a Coordinator whose VM does not lead yet.
 func New(config Config) *Coordinator {
+	if config.Memory == nil {
+		config.Memory = jobmemory.NewAccount(0)
+	}
 	return &Coordinator{config: config}
 }
 
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -150,6 +150,7 @@
 func (t *term) accept(e jobsAccepted, now time.Time) {
 	for _, job := range e.jobs {
 		if !t.planner.Has(job.ID) {
+			t.config.Memory.Read(job)
 			t.config.Log.Info("job queued", "job", job.ID, "queue", job.Queue, "steps", len(job.Steps),
 				"age", now.Sub(job.Accepted).String())
 		}
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -138,12 +138,13 @@
 	t.control(ctx)
 }
 
-// publishCounts updates the fields pending and sizes, which other goroutines read.
+// publishCounts updates the fields pending and sizes and the account of the jobs' memory, which other goroutines read.
 func (t *term) publishCounts() {
 	pending := t.planner.Pending()
 	t.pending.Store(&pending)
 	sizes := t.planner.Sizes(time.Now())
 	t.sizes.Store(&sizes)
+	t.config.Memory.Reset(t.planner.Footprint())
 }
 
 // updateLinks opens links to new workers, reopens the links whose worker has a new address, and closes the links to
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -57,6 +57,11 @@
 	// Sizes lists the capacities that workers have had. The list is empty as long as neither this VM's own coordinator
 	// nor the leader has provided capacities.
 	Sizes() []roster.Size
+	// AdmitJob reports whether this VM may store a job, as far as the leader's memory is concerned. If this VM does not
+	// lead, the leader may still admit a job that this VM may not store by itself.
+	AdmitJob(job *graph.Job) (admitted, leading bool)
+	// ReleaseJob tells that a job that was admitted has not been stored.
+	ReleaseJob(id graph.ID)
 	// Peers lists the VMs to relay requests to, the preferred ones first.
 	Peers() []relay.Peer
 }
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -97,6 +97,12 @@
 // Sizes implements intake.Site.
 func (siteWithPeers) Sizes() []roster.Size { return nil }
 
+// AdmitJob implements intake.Site.
+func (siteWithPeers) AdmitJob(*graph.Job) (admitted, leading bool) { return true, true }
+
+// ReleaseJob implements intake.Site.
+func (siteWithPeers) ReleaseJob(graph.ID) {}
+
 // Peers implements intake.Site.
 func (s siteWithPeers) Peers() []relay.Peer { return s.peers }
 
@@ -118,6 +124,12 @@
 
 // newVMWithLimit is like newVM for a VM that knows the largest size of a value in the store.
 func newVMWithLimit(t *testing.T, valueLimit int, peers ...relay.Peer) *vm {
+	t.Helper()
+	return newVMOn(t, valueLimit, siteWithPeers{peers: peers})
+}
+
+// newVMOn returns a VM of the given site.
+func newVMOn(t *testing.T, valueLimit int, site intake.Site) *vm {
 	t.Helper()
 	v := &vm{service: memstore.New(1), deadline: 2800 * time.Millisecond}
 	v.service.Put("op/config", []byte("{}"))
@@ -126,7 +138,7 @@
 	v.watcher = policywatch.New(monitor, codec{}, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
 	t.Cleanup(v.watcher.Close)
 	time.Sleep(time.Second)
-	v.intake = intake.New(monitor, codec{}, v.watcher, siteWithPeers{peers: peers}, valueLimit,
+	v.intake = intake.New(monitor, codec{}, v.watcher, site, valueLimit,
 		intake.NewMetrics(metrics.NewSet()), hclog.NewNullLogger())
 	return v
 }
--- a/io/intake/metrics.go
+++ b/io/intake/metrics.go
@@ -19,6 +19,11 @@
 	return &Metrics{set: set}
 }
 
+// recordNoMemory counts a job that was refused because the leader has no memory for it.
+func (m *Metrics) recordNoMemory() {
+	m.set.GetOrCreateCounter(`auburnstack_jobs_refused_for_memory_total`).Inc()
+}
+
 func (m *Metrics) recordAnswer(method string, kind answer.Kind, elapsed time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`auburnstack_answers_total{method=%q,answer=%q}`, method, kind.String())).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`auburnstack_answer_duration_seconds{method=%q}`, method)).
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -36,7 +36,14 @@
 	if i.valueLimit > 0 && len(value) > i.valueLimit {
 		return answer.Answer{Kind: answer.TooLarge, Reason: "the job is larger than the store can hold"}
 	}
-	return i.storeJob(ctx, c, job, value, 0)
+	if a, refused := i.admit(ctx, c, job); refused {
+		return a
+	}
+	a := i.storeJob(ctx, c, job, value, 0)
+	if a.Kind.DeniesEffect() || a.Kind == answer.NoJob {
+		i.site.ReleaseJob(job.ID)
+	}
+	return a
 }
 
 // storeJob stores a new job, unless its account has canceled it already. withdrawn is the revision of the job's
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -171,6 +171,9 @@
 		Sender: encodeMember(h.Sender), Fence: int64(h.Fence), Policy: snapshot, Pending: map[string]int64{},
 		Lease: int64(h.Lease), Resigned: h.Resigned,
 	}
+	if h.JobAllowance.Limited {
+		message.JobAllowance = &relaypb.JobAllowance{Bytes: h.JobAllowance.Bytes}
+	}
 	for queue, count := range h.Pending {
 		message.Pending[queue] = int64(count)
 	}
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -10,6 +10,7 @@
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
+	"auburnstack/core/jobmemory"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/policywatch"
@@ -39,6 +40,8 @@
 	// Sizes lists the capacities that workers have had. The list is empty until the leader has enough information about
 	// the workers.
 	Sizes []roster.Size
+	// JobAllowance is what the receiver may accept by itself until the leader's next heartbeat.
+	JobAllowance jobmemory.Allowance
 	// Lease is the store lease under which the leader holds its key. Resigned is set when the leader has ended its
 	// leadership term, so the receiver may end this lease.
 	Lease    store.LeaseID
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -12,6 +12,7 @@
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
+	"auburnstack/core/jobmemory"
 	"auburnstack/core/policy"
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
@@ -102,6 +103,9 @@
 	if h.Policy, err = decodePolicy(message.GetPolicy(), now); err != nil {
 		return Heartbeat{}, err
 	}
+	h.JobAllowance = jobmemory.Allowance{
+		Limited: message.GetJobAllowance() != nil, Bytes: message.GetJobAllowance().GetBytes(),
+	}
 	for queue, count := range message.GetPending() {
 		h.Pending[queue] = int(count)
 	}
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -44,6 +44,7 @@
 			membersReadAt = time.Now()
 			n.readMembers(ctx)
 		}
+		n.memory.report(time.Now())
 		if role.Valid() {
 			sender.send(ctx, n.members.list())
 		}
@@ -52,7 +53,8 @@
 }
 
 // readMembers updates the list of members: the VMs that are registered in the store, and the VMs that have recently
-// been in contact with this VM. The list stays as it is when the store does not answer.
+// been in contact with this VM. It also limits the memory of the jobs to what each registered VM has. Both stay as they
+// are when the store does not answer.
 func (n *Node) readMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
@@ -62,16 +64,21 @@
 		return
 	}
 	all := append([]relay.Member{n.self}, n.members.recentContacts(time.Now())...)
+	limit := n.config.JobMemory
 	for _, item := range page.Items {
-		member, err := decodeMember(item)
+		registered, err := decodeRegistration(item)
 		if err != nil {
 			n.config.Log.Warn("invalid VM registration ignored", "error", err.Error())
 			continue
 		}
+		member := registered.Member
+		limit = limit.Min(registered.JobMemory)
 		all = slices.DeleteFunc(all, func(m relay.Member) bool { return m.Name == member.Name })
 		all = append(all, member)
 	}
 	n.members.replace(all)
+	// Any of these VMs may become the leader and then has to hold all jobs.
+	n.memory.account.SetLimit(limit)
 	n.config.Peers.Retain(all)
 }
 
--- a/io/site/members.go
+++ b/io/site/members.go
@@ -70,20 +70,21 @@
 
 // handleHeartbeat updates the state from a heartbeat. A heartbeat without a fencing token comes from a VM that does not
 // lead; handleHeartbeat only records the time of that contact. A heartbeat with an outdated fencing token is ignored.
-func (m *members) handleHeartbeat(h relay.Heartbeat) {
+// handleHeartbeat reports whether the heartbeat comes from a VM that leads.
+func (m *members) handleHeartbeat(h relay.Heartbeat) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if h.Fence == 0 {
 		m.lastContact[h.Sender] = time.Now()
-		return
+		return false
 	}
 	if h.Fence < m.fence {
-		return
+		return false
 	}
 	m.lastLeader, m.fence = h.Sender, h.Fence
 	if h.Resigned {
 		m.leaderHeartbeatAt = time.Time{}
-		return
+		return false
 	}
 	m.leaderHeartbeatAt = time.Now()
 	m.pending, m.pendingAt = h.Pending, m.leaderHeartbeatAt
@@ -94,6 +95,7 @@
 		// The leader omits the list if it has not changed since it was last sent to this VM.
 		m.setOthers(h.Members)
 	}
+	return true
 }
 
 // recordContact records that a VM has answered a heartbeat.
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
+	"auburnstack/core/jobmemory"
 	"auburnstack/core/planner"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
@@ -59,6 +59,8 @@
 	Planner   planner.Settings
 	// ValueLimit is the largest size of a value of Store in bytes; 0 means that there is no limit.
 	ValueLimit int
+	// JobMemory is the largest memory that the jobs may take if the VM leads; 0 means that there is no limit.
+	JobMemory jobmemory.Limit
 	// ElectionDelay is the time that the VM waits before it tries to become leader, so that VMs with more resources can
 	// become leader first.
 	ElectionDelay time.Duration
@@ -77,6 +79,7 @@
 	candidate   *election.Candidate
 	intake      *intake.Intake
 	members     *members
+	memory      *memory
 	registrar   *registrar
 	cancel      context.CancelFunc
 	loops       sync.WaitGroup
@@ -93,11 +96,12 @@
 	revisions := store.NewRevisionLog(config.Store, config.Clock)
 	n.store = store.NewMonitor(revisions)
 	n.members = newMembers(n.self, config.Seeds)
+	n.memory = newMemory(config.JobMemory, config.Metrics, config.Log)
 	n.coordinator = coordinator.New(coordinator.Config{
 		Store: n.store, Revisions: revisions, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
 		Policy: func() *policywatch.Snapshot { return n.watcher.Current() }, Name: config.Name,
-		ValueLimit: config.ValueLimit,
-		Adviser:    config.Adviser, Inventory: config.Inventory, Upkeep: config.Codecs.Upkeep,
+		ValueLimit: config.ValueLimit, Memory: n.memory.account,
+		Adviser: config.Adviser, Inventory: config.Inventory, Upkeep: config.Codecs.Upkeep,
 		Metrics: coordinator.NewMetrics(config.Metrics), Log: config.Log,
 	})
 	ready := make(chan struct{})
@@ -109,7 +113,7 @@
 		})
 	n.intake = intake.New(n.store, config.Codecs.Jobs, n.watcher, n, config.ValueLimit,
 		intake.NewMetrics(config.Metrics), config.Log)
-	n.registrar = newRegistrar(n.store, n.self, config.Log)
+	n.registrar = newRegistrar(n.store, registration{Member: n.self, JobMemory: config.JobMemory}, config.Log)
 	n.candidate = election.New(n.store, election.Leader{
 		Name: config.Name, Address: config.Address, Incarnation: config.Incarnation,
 	}, config.Clock, config.Log, election.Callbacks{
@@ -184,7 +188,9 @@
 	} else {
 		n.watcher.ConfirmCurrent(&h.Policy)
 	}
-	n.members.handleHeartbeat(h)
+	if n.members.handleHeartbeat(h) {
+		n.memory.quota.Set(h.JobAllowance)
+	}
 	if h.Resigned {
 		n.loops.Go(func() { n.takeOver(h.Lease) })
 	}
@@ -263,17 +269,3 @@
 	}
 	return peers
 }
-
-// vmPrefix is the prefix of the store keys under which the VMs of the site register.
-const vmPrefix = "auburnstack/vm/"
-
-func encodeMember(m relay.Member) ([]byte, error) {
-	value, err := json.Marshal(m)
-	return value, errors.WithStack(err)
-}
-
-func decodeMember(item store.Item) (relay.Member, error) {
-	var m relay.Member
-	err := json.Unmarshal(item.Value, &m)
-	return m, errors.WithMessagef(err, "decode VM registration %s", item.Key)
-}
--- a/io/site/registrar.go
+++ b/io/site/registrar.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"auburnstack/core/jobmemory"
+	"auburnstack/io/decoding"
 	"auburnstack/io/relay"
 	"auburnstack/io/store"
 	"auburnstack/io/wait"
@@ -23,17 +26,38 @@
 	registrationTimeout = time.Second
 )
 
+// vmPrefix is the prefix of the store keys under which the VMs of the site register.
+const vmPrefix = "auburnstack/vm/"
+
+// registration is what a VM stores about itself for the leader.
+type registration struct {
+	relay.Member
+	// JobMemory is the largest memory that the jobs may take if this VM leads; 0 means that there is no limit.
+	JobMemory jobmemory.Limit `json:",omitempty"`
+}
+
+func (r registration) encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	return value, errors.WithStack(err)
+}
+
+func decodeRegistration(item store.Item) (registration, error) {
+	var r registration
+	err := decoding.Unmarshal(item.Value, &r, decoding.Dense)
+	return r, errors.WithMessagef(err, "decode VM registration %s", item.Key)
+}
+
 // registrar registers the VM in the store under a lease, and renews the lease.
 type registrar struct {
 	store  store.Store
-	self   relay.Member
+	self   registration
 	log    hclog.Logger
 	lease  store.LeaseID
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
-func newRegistrar(s store.Store, self relay.Member, log hclog.Logger) *registrar {
+func newRegistrar(s store.Store, self registration, log hclog.Logger) *registrar {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &registrar{store: s, self: self, log: log, cancel: cancel, done: make(chan struct{})}
 	go r.run(ctx)
@@ -78,7 +102,7 @@
 		}
 		r.lease = 0
 	}
-	value, err := encodeMember(r.self)
+	value, err := r.self.encode()
 	if err != nil {
 		return err
 	}
--- a/io/site/sender.go
+++ b/io/site/sender.go
@@ -70,6 +70,7 @@
 	h := s.heartbeat()
 	if counts, leading := s.node.coordinator.Pending(); leading {
 		h.Pending = counts
+		h.JobAllowance = s.node.memory.account.Allowance(len(receivers)+1, time.Now())
 	}
 	h.Sizes = s.node.coordinator.Sizes()
 	for _, receiver := range receivers {
