Bound the listeners for other VMs, readiness checks and metrics

Cause: these listeners accept any number of connections; the server for other VMs holds the parts of up to 8 MB messages of any number of calls. The crowd of TestRelayCrowd took a VM of 96 MB to 313 MB and used up its 320 descriptors.

Change: io/connections limits the connections of a listener. A further client is served, and the connection that has been silent for longest is closed, one that never sent anything first. It also counts the bytes that were received for calls which have not ended; beyond a sixteenth of the memory it closes the connection that holds most and makes no progress. The server for other VMs has limits on calls for each connection, headers, buffers, windows, the handshake and idle connections; readiness and metrics have 32 connections each and 5 s to send a request and to read the answer. The limits follow from MemoryMB and the process's descriptors (platform/entry/bounds.go). TestPatientRelayCrowd is new: its clients keep to the window of their connection, which those of TestRelayCrowd exceed.

--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -17,6 +17,7 @@
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
+	"auburnstack/io/connections"
 	"auburnstack/io/decoding"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay/relaypb"
@@ -38,10 +39,16 @@
 	done chan struct{}
 }
 
-// NewServer starts a server that passes the messages received on a listener to a handler.
+// NewServer starts a server that passes the messages received on a listener to a handler, within DefaultLimits.
 func NewServer(listener net.Listener, handler Handler, log hclog.Logger) *Server {
-	s := &Server{done: make(chan struct{})}
-	s.rpc = rpcserver.New(log, grpc.MaxRecvMsgSize(maxMessage), grpc.ForceServerCodecV2(newBoundedCodec()))
+	return NewLimitedServer(listener, handler, DefaultLimits, log)
+}
+
+// NewLimitedServer is like NewServer with other limits.
+func NewLimitedServer(inner net.Listener, handler Handler, limits Limits, log hclog.Logger) *Server {
+	listener := connections.NewListener(inner,
+		connections.Limits{Connections: limits.Connections, Bytes: limits.MessageBytes}, limits.Closed)
+	s := &Server{done: make(chan struct{}), rpc: rpcserver.New(log, limits.options(listener)...)}
 	relaypb.RegisterRelayServer(s.rpc, &service{handler: handler})
 	go func() {
 		defer close(s.done)
