--- a/core/jobmemory/account.go
+++ b/core/jobmemory/account.go
@@ -23,7 +23,7 @@
 	reservationTime = 10 * time.Second
 	// allowanceParts divides the free memory among the VMs: together they use at most half of it between two heartbeats.
 	allowanceParts = 2
-	// initialParts is the part of a VM's own limit that it may use before it has heard from a leader.
+	// initialParts is the part of the limit that VMs may use while nothing is known about the jobs that the leader holds.
 	initialParts = 16
 )
 
@@ -48,6 +48,12 @@
 	return l
 }
 
+// Initial returns what each of the given number of VMs may accept by itself while nothing is known about the jobs that
+// the leader holds.
+func (l Limit) Initial(vms int) Allowance {
+	return Allowance{Limited: l > 0, Bytes: int64(l) / int64(initialParts*max(vms, 1))}
+}
+
 // reservation is the footprint of a job that was admitted and that the leader has not read yet.
 type reservation struct {
 	bytes int64
--- a/core/jobmemory/allowance.go
+++ b/core/jobmemory/allowance.go
@@ -22,7 +22,7 @@
 
 // NewQuota returns the quota for a VM that has not heard from a leader. limit is the VM's own limit.
 func NewQuota(limit Limit) *Quota {
-	return &Quota{left: Allowance{Limited: limit > 0, Bytes: int64(limit) / initialParts}}
+	return &Quota{left: limit.Initial(1)}
 }
 
 // Set replaces what is left by a new allowance.
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -140,11 +140,12 @@
 
 // publishCounts updates the fields pending and sizes and the account of the jobs' memory, which other goroutines read.
 func (t *term) publishCounts() {
+	// The account is complete before the field pending tells that all records are loaded.
+	t.config.Memory.Reset(t.planner.Footprint())
 	pending := t.planner.Pending()
 	t.pending.Store(&pending)
 	sizes := t.planner.Sizes(time.Now())
 	t.sizes.Store(&sizes)
-	t.config.Memory.Reset(t.planner.Footprint())
 }
 
 // updateLinks opens links to new workers, reopens the links whose worker has a new address, and closes the links to
--- a/io/site/memory.go
+++ b/io/site/memory.go
@@ -50,6 +50,15 @@
 	m.log.Info("memory for large jobs again", "taken", status.Taken, "limit", int64(status.Limit))
 }
 
+// allowance returns what each of the given number of VMs may accept by itself until the leader's next heartbeat. A
+// leader that has not loaded all records yet does not know what it holds.
+func (m *memory) allowance(loaded bool, vms int, now time.Time) jobmemory.Allowance {
+	if loaded {
+		return m.account.Allowance(vms, now)
+	}
+	return m.account.Status(now).Limit.Initial(vms)
+}
+
 // AdmitJob implements intake.Site.
 func (n *Node) AdmitJob(job *graph.Job) (admitted, leading bool) {
 	if _, leading := n.coordinator.Pending(); leading {
--- a/io/site/sender.go
+++ b/io/site/sender.go
@@ -68,9 +68,12 @@
 // does not wait for the replies.
 func (s *sender) send(ctx context.Context, receivers []relay.Member) {
 	h := s.heartbeat()
-	if counts, leading := s.node.coordinator.Pending(); leading {
+	counts, loaded := s.node.coordinator.Pending()
+	if loaded {
 		h.Pending = counts
-		h.JobAllowance = s.node.memory.account.Allowance(len(receivers)+1, time.Now())
+	}
+	if s.role != nil {
+		h.JobAllowance = s.node.memory.allowance(loaded, len(receivers)+1, time.Now())
 	}
 	h.Sizes = s.node.coordinator.Sizes()
 	for _, receiver := range receivers {
