--- a/core/graph/footprint.go
+++ b/core/graph/footprint.go
@@ -18,7 +18,8 @@
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		tasks += int64(step.Tasks)
-		bytes += int64(stepFootprint + afterFootprint*len(step.After) + len(step.Label) + len(step.DataRack) + len(step.Image))
+		bytes += int64(stepFootprint + afterFootprint*len(step.After))
+		bytes += int64(len(step.Label) + len(step.DataRack) + len(step.Image))
 	}
 	return bytes + int64(j.Occurrences())*(int64(len(j.Steps))*occurrenceFootprint+tasks*taskFootprint)
 }
