--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -61,6 +61,8 @@
 	anyLimited, anyWeighted bool
 	// arrivalsChanged is set if the rates at which accounts submit jobs must be determined again.
 	arrivalsChanged bool
+	// footprint is the sum of the footprints of all jobs.
+	footprint int64
 	// recurring holds the recurring jobs that have not ended.
 	recurring map[graph.ID]*jobState
 	// waiting holds the units that can be placed.
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -143,8 +143,10 @@
 	t.control(ctx)
 }
 
-// publishCounts updates the fields pending and sizes, which other goroutines read.
+// publishCounts updates the fields pending and sizes and the account of the jobs' memory, which other goroutines read.
 func (t *term) publishCounts() {
+	// The account is complete before the field pending tells that all records are loaded.
+	t.config.Memory.Reset(t.planner.Footprint())
 	pending := t.planner.Pending()
 	t.pending.Store(&pending)
 	sizes := t.planner.Sizes(time.Now())
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -97,6 +97,12 @@
 // Sizes implements intake.Site.
 func (siteWithPeers) Sizes() []roster.Size { return nil }
 
+// AdmitJob implements intake.Site.
+func (siteWithPeers) AdmitJob(*graph.Job) (admitted, leading bool) { return true, true }
+
+// ReleaseJob implements intake.Site.
+func (siteWithPeers) ReleaseJob(graph.ID) {}
+
 // Peers implements intake.Site.
 func (s siteWithPeers) Peers() []relay.Peer { return s.peers }
 
@@ -122,6 +128,12 @@
 	return newVMWithCodec(t, codec{}, valueLimit, peers...)
 }
 
+// newVMOn returns a VM of the given site.
+func newVMOn(t *testing.T, valueLimit int, site intake.Site) *vm {
+	t.Helper()
+	return newVMOnWithCodec(t, codec{}, valueLimit, site)
+}
+
 // vmCodec decodes configurations and submissions.
 type vmCodec interface {
 	policywatch.Codec
@@ -130,6 +142,12 @@
 
 // newVMWithCodec is like newVMWithLimit for a VM with the given codec.
 func newVMWithCodec(t *testing.T, c vmCodec, valueLimit int, peers ...relay.Peer) *vm {
+	t.Helper()
+	return newVMOnWithCodec(t, c, valueLimit, siteWithPeers{peers: peers})
+}
+
+// newVMOnWithCodec returns a VM of the given site with the given codec.
+func newVMOnWithCodec(t *testing.T, c vmCodec, valueLimit int, site intake.Site) *vm {
 	t.Helper()
 	v := &vm{service: memstore.New(1), deadline: 2800 * time.Millisecond}
 	v.service.Put("op/config", []byte("{}"))
@@ -138,7 +156,7 @@
 	v.watcher = policywatch.New(monitor, c, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
 	t.Cleanup(v.watcher.Close)
 	time.Sleep(time.Second)
-	v.intake = intake.New(monitor, c, v.watcher, siteWithPeers{peers: peers}, valueLimit,
+	v.intake = intake.New(monitor, c, v.watcher, site, valueLimit,
 		intake.NewMetrics(metrics.NewSet()), hclog.NewNullLogger())
 	return v
 }
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"time"
@@ -13,10 +12,13 @@
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
+	"auburnstack/core/jobmemory"
 	"auburnstack/core/policy"
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
+	"auburnstack/io/connections"
+	"auburnstack/io/decoding"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay/relaypb"
 	"auburnstack/io/rpcserver"
@@ -37,9 +39,16 @@
 	done chan struct{}
 }
 
-// NewServer starts a server that passes the messages received on a listener to a handler.
+// NewServer starts a server that passes the messages received on a listener to a handler, within DefaultLimits.
 func NewServer(listener net.Listener, handler Handler, log hclog.Logger) *Server {
-	s := &Server{rpc: rpcserver.New(log, grpc.MaxRecvMsgSize(maxMessage)), done: make(chan struct{})}
+	return NewLimitedServer(listener, handler, DefaultLimits, log)
+}
+
+// NewLimitedServer is like NewServer with other limits.
+func NewLimitedServer(inner net.Listener, handler Handler, limits Limits, log hclog.Logger) *Server {
+	listener := connections.NewListener(inner,
+		connections.Limits{Connections: limits.Connections, Bytes: limits.MessageBytes}, limits.Closed)
+	s := &Server{done: make(chan struct{}), rpc: rpcserver.New(log, limits.options(listener)...)}
 	relaypb.RegisterRelayServer(s.rpc, &service{handler: handler})
 	go func() {
 		defer close(s.done)
@@ -101,6 +110,9 @@
 	if h.Policy, err = decodePolicy(message.GetPolicy(), now); err != nil {
 		return Heartbeat{}, err
 	}
+	h.JobAllowance = jobmemory.Allowance{
+		Limited: message.GetJobAllowance() != nil, Bytes: message.GetJobAllowance().GetBytes(),
+	}
 	for queue, count := range message.GetPending() {
 		h.Pending[queue] = int(count)
 	}
@@ -129,7 +141,7 @@
 		return snapshot, nil
 	}
 	snapshot.Policy = &policy.Policy{}
-	return snapshot, errors.WithStack(json.Unmarshal(message.GetPolicy(), snapshot.Policy))
+	return snapshot, decoding.Unmarshal(message.GetPolicy(), snapshot.Policy, decoding.Dense)
 }
 
 func decodeMember(message *relaypb.Member) (Member, error) {
--- a/io/site/sender.go
+++ b/io/site/sender.go
@@ -68,9 +68,13 @@
 // does not wait for the replies.
 func (s *sender) send(ctx context.Context, receivers []relay.Member) {
 	h := s.heartbeat()
-	if counts, leading := s.node.coordinator.Pending(); leading {
+	counts, loaded := s.node.coordinator.Pending()
+	if loaded {
 		h.Pending = counts
 	}
+	if s.role != nil {
+		h.JobAllowance = s.node.memory.allowance(loaded, len(receivers)+1, time.Now())
+	}
 	h.Sizes = s.node.coordinator.Sizes()
 	for _, receiver := range receivers {
 		if s.tryBegin(receiver) {
