Watches that the store leaves unanswered no longer hide accepted jobs for seconds

While the store had lost its history, it left watches unanswered for three seconds and answered reads. A mirror now reads all items when a watch is unanswered for a margin (0.4 s for the inbox, 0.3 s for registrations, more where reads are slow).

Reads of the inbox are more frequent, so a job that the planner has forgotten is not planned anew while its records are being removed.

--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -70,6 +70,11 @@
 	rejected, open []planner.Change
 }
 
+// jobsRemoved reports that all records of old jobs were removed from the store.
+type jobsRemoved struct {
+	ids []graph.ID
+}
+
 // policyChanged reports that another configuration is in force.
 type policyChanged struct{}
 
@@ -88,5 +93,6 @@
 func (stopAnswered) isEvent()   {}
 func (paceAnswered) isEvent()   {}
 func (flushDone) isEvent()      {}
+func (jobsRemoved) isEvent()    {}
 func (policyChanged) isEvent()  {}
 func (stateQuery) isEvent()     {}
--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -246,8 +246,12 @@
 		return
 	}
 	t.lastRemoval = now
+	t.pruneRemoved(now)
 	var removes []string
+	var ids []graph.ID
 	for _, job := range t.planner.Forget(now) {
+		ids = append(ids, job.ID)
+		t.removed[job.ID] = time.Time{}
 		keys := keysOf(job)
 		for _, key := range keys {
 			delete(t.revisions, key)
@@ -255,7 +259,20 @@
 		removes = append(removes, keys...)
 	}
 	if len(removes) > 0 {
-		t.spawn(func() { t.removeKeys(ctx, removes) })
+		t.spawn(func() {
+			if t.removeKeys(ctx, removes) {
+				t.post(jobsRemoved{ids: ids})
+			}
+		})
+	}
+}
+
+// pruneRemoved forgets the removed jobs that no read of the inbox returns any more.
+func (t *term) pruneRemoved(now time.Time) {
+	for id, at := range t.removed {
+		if !at.IsZero() && now.Sub(at) > loadTimeout {
+			delete(t.removed, id)
+		}
 	}
 }
 
@@ -269,15 +286,16 @@
 	return append(keys, JobKey(job.ID))
 }
 
-// removeKeys removes keys in the given order, in as many transactions as that needs.
-func (t *term) removeKeys(ctx context.Context, keys []string) {
+// removeKeys removes keys in the given order, in as many transactions as that needs. It reports whether all are removed.
+func (t *term) removeKeys(ctx context.Context, keys []string) bool {
 	for batch := range slices.Chunk(keys, store.MaxEntries-1) {
 		if err := t.remove(ctx, []store.Condition{t.role.Condition()}, batch); err != nil {
 			// The next leader loads the remaining jobs again and repeats the removal.
 			t.config.Log.Warn("removing old jobs failed", "keys", len(keys), "error", err.Error())
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // remove removes keys under the given conditions.
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -21,6 +21,10 @@
 		t.updateLinks()
 	case jobsAccepted:
 		t.accept(e, now)
+	case jobsRemoved:
+		for _, id := range e.ids {
+			t.removed[id] = now
+		}
 	case holdAnswered:
 		t.observe(e, now)
 	case holdUnanswered:
@@ -149,6 +153,9 @@
 
 func (t *term) accept(e jobsAccepted, now time.Time) {
 	for _, job := range e.jobs {
+		if _, removed := t.removed[job.ID]; removed {
+			continue
+		}
 		if !t.planner.Has(job.ID) {
 			t.config.Memory.Read(job)
 			t.config.Log.Info("job queued", "job", job.ID, "queue", job.Queue, "account", job.ClientAccount,
--- a/io/coordinator/inbox.go
+++ b/io/coordinator/inbox.go
@@ -7,8 +7,13 @@
 	"auburnstack/io/store"
 )
 
-// inboxWait is the longest time for which one watch call on the inbox waits for changes.
-const inboxWait = 2 * time.Second
+const (
+	// inboxWait is the longest time for which one watch call on the inbox waits for changes.
+	inboxWait = 600 * time.Millisecond
+	// inboxMargin is the time after inboxWait for which a watch call may go unanswered. An accepted job that the leader
+	// does not read can't start, so a store that leaves watches unanswered is read instead, about once a second.
+	inboxMargin = 400 * time.Millisecond
+)
 
 // inbox posts newly accepted jobs and cancellations to a term. It implements mirror.Listener.
 type inbox struct {
@@ -18,7 +23,9 @@
 // followInbox starts to watch the inbox, the store keys under InboxPrefix, for changes that are newer than the given
 // revision.
 func (t *term) followInbox(from store.Revision) *mirror.Mirror {
-	options := mirror.Options{Prefix: InboxPrefix, From: from, Wait: inboxWait, Timeout: loadTimeout}
+	options := mirror.Options{
+		Prefix: InboxPrefix, From: from, Wait: inboxWait, Margin: inboxMargin, Timeout: loadTimeout,
+	}
 	return mirror.New(t.config.Store, options, t.config.Log, &inbox{term: t})
 }
 
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -8,6 +8,7 @@
 
 	"auburnstack/core/domain"
 	"auburnstack/core/endpoint"
+	"auburnstack/core/graph"
 	"auburnstack/core/planner"
 	"auburnstack/core/roster"
 	"auburnstack/core/upkeep"
@@ -65,8 +66,11 @@
 	// lastProbe holds, for each failure domain, the time of the last round of probes to its workers.
 	lastProbe   map[domain.Name]time.Time
 	lastRemoval time.Time
-	waves       *upkeep.Tracker
-	learned     learned
+	// removed holds the jobs that the planner has forgotten in this term, with the time by which their records were
+	// removed; zero until then. A read of the inbox may still return them.
+	removed map[graph.ID]time.Time
+	waves   *upkeep.Tracker
+	learned learned
 	// reports holds the reports on upkeep waves that are still to be stored.
 	// reportInFlight is set while one of these reports is being stored.
 	reports        []upkeep.Record
@@ -96,6 +100,7 @@
 		config: config, role: role, events: make(chan event, eventBuffer), pacer: newPacer(),
 		openingSlots: make(chan struct{}, maxOpeningLinks),
 		lastProbe:    map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[string]store.Revision{},
+		removed: map[graph.ID]time.Time{},
 	}
 	t.history = newHistory(t)
 	t.accounts = newAccountWatch(config)
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -36,6 +36,10 @@
 	Wait, BatchDelay time.Duration
 	// Timeout is the timeout of a call to the store. Wait is added to it for watch calls.
 	Timeout time.Duration
+	// Margin is the longest time after Wait for which a watch call may go unanswered before all items are read again; 0
+	// means Timeout. A store can leave watches unanswered for seconds and still answer reads. The time of two reads of
+	// all items is added, since the answer to a watch takes as long on a slow link.
+	Margin time.Duration
 }
 
 // Mirror watches the items under one key prefix of the store.
@@ -44,6 +48,8 @@
 	options  Options
 	log      hclog.Logger
 	listener Listener
+	// lastRead is the time that the last read of all items took. Only the goroutine of run uses it.
+	lastRead time.Duration
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -105,11 +111,22 @@
 func (m *Mirror) read(ctx context.Context) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.options.Timeout)
 	defer cancel()
-	return m.store.Range(ctx, m.options.Prefix)
+	started := time.Now()
+	page, err := m.store.Range(ctx, m.options.Prefix)
+	m.lastRead = time.Since(started)
+	return page, err
 }
 
 func (m *Mirror) watch(ctx context.Context, at store.Revision) (store.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.options.Wait+m.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, m.options.Wait+m.margin())
 	defer cancel()
 	return m.store.Watch(ctx, m.options.Prefix, at, m.options.Wait)
 }
+
+// margin returns the time after Options.Wait by which a watch call must be answered.
+func (m *Mirror) margin() time.Duration {
+	if m.options.Margin == 0 {
+		return m.options.Timeout
+	}
+	return min(m.options.Margin+2*m.lastRead, m.options.Timeout)
+}
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -16,7 +16,10 @@
 
 const (
 	// watchWait is the maximum time that one watch call waits for changes.
-	watchWait = time.Second
+	watchWait = 700 * time.Millisecond
+	// watchMargin is the time after watchWait for which a watch call may go unanswered before all registrations are read.
+	// Registrations that were read more than 1.8 s before start nothing, so an unanswered watch must not take as long.
+	watchMargin = 300 * time.Millisecond
 	// callTimeout is the timeout of a call to the store, in addition to the time that a watch waits.
 	callTimeout = time.Second
 	// batchDelay is the pause after each watch call, so that the next call returns the registration updates (heartbeats)
@@ -66,7 +69,9 @@
 		codec: codec, log: log, onChange: onChange, items: map[string]store.Item{},
 		missing: map[string]missingRegistration{}, loggedInvalid: map[string]store.Revision{},
 	}
-	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, BatchDelay: batchDelay, Timeout: callTimeout}
+	options := mirror.Options{
+		Prefix: codec.Prefix(), Wait: watchWait, BatchDelay: batchDelay, Margin: watchMargin, Timeout: callTimeout,
+	}
 	w.mirror = mirror.New(s, options, log, w)
 	return w
 }
--- a/standin/memstore/client.go
+++ b/standin/memstore/client.go
@@ -38,6 +38,7 @@
 	defer c.service.mu.Unlock()
 	serviceFaults := c.service.faults
 	f.Down, f.Refuse = f.Down || serviceFaults.Down, f.Refuse || serviceFaults.Refuse
+	f.WatchesUnanswered = f.WatchesUnanswered || serviceFaults.WatchesUnanswered
 	f.Slow += serviceFaults.Slow
 	f.PerItem += serviceFaults.PerItem
 	f.WatchBytes = max(f.WatchBytes, serviceFaults.WatchBytes)
@@ -134,6 +135,10 @@
 	if err := c.delayCall(ctx); err != nil {
 		return store.Changes{}, err
 	}
+	if c.currentFaults().WatchesUnanswered {
+		<-ctx.Done()
+		return store.Changes{}, errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/standin/memstore/faults.go
+++ b/standin/memstore/faults.go
@@ -16,6 +16,8 @@
 	// WatchBytes is the maximum size of all values in one answer to a watch; a larger answer fails with
 	// store.ErrTooLarge. Zero means no limit.
 	WatchBytes int
+	// WatchesUnanswered leaves watches unanswered. Other calls are answered.
+	WatchesUnanswered bool
 	// LoseReplies is the share of writes that are carried out but get no reply.
 	// LateWrites is the share of writes that are carried out up to three seconds late and get no reply.
 	LoseReplies, LateWrites float64
