Limits: an urgent unit above its limit avoids slow workers, too

When work must be stopped for a unit of priority 0, workers known to be too slow for it are left out first. The search for a unit that exceeds its account's limit did not do so: it stopped the cheaper run on a slow worker and the unit was late all the same.

TestLimitSparesFastWorkers fails without the change.

--- a/core/planner/limit.go
+++ b/core/planner/limit.go
@@ -47,7 +47,7 @@
 	}
 	places := p.place(s, (*worker).free)
 	if places == nil {
-		return p.findEviction(s)
+		return p.findFastEviction(s)
 	}
 	t := &tally{search: s, missing: s.missing, total: s.tasks}
 	e := &eviction{victims: t.prune(p.chooseForLimit(t, nil)), places: places}
