Takeover: stops of restored runs are dated

A new leader dated the stops of ended jobs' runs with the zero time, as Plan had not been called yet. They counted as overdue, so their amounts were not expected to become free, and an urgent unit of the same account stopped more work in vain.

Restore now sets the planner's time. TestTakeoverCountsStopsThatAreDue fails without it: a second run of the account is stopped.

--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -12,6 +12,8 @@
 	if _, known := p.jobs[job.ID]; known {
 		return
 	}
+	// Stops of restored runs are dated although Plan was not called yet.
+	p.now = later(p.now, now)
 	j := p.addJob(job)
 	p.arrivalsChanged = true
 	if progress.State != "" {
--- a/core/planner/takeover_test.go
+++ b/core/planner/takeover_test.go
@@ -52,3 +52,33 @@
 	qt.Check(t, state, qt.Not(qt.Equals), graph.Failed)
 	qt.Check(t, second.jobs["job"].units[0][0][0].failures, qt.Equals, 1)
 }
+
+// TestTakeoverCountsStopsThatAreDue guards against work that a new leader stops in vain for an urgent unit, although the
+// runs of an ended job, which it has just ordered to stop, leave room below the account's limit.
+func TestTakeoverCountsStopsThatAreDue(t *testing.T) {
+	for _, ended := range []string{"before the takeover", "in the takeover"} {
+		first, list, now := newLimitedPlanner(limitedPolicy("gold", 8), 3)
+		jobs := []*graph.Job{
+			simpleJob("canceled", "batch", "gold", 1, 4, now), simpleJob("kept", "batch", "gold", 1, 4, now),
+		}
+		for _, job := range jobs {
+			first.Submit(job, now)
+		}
+		settle(first, now)
+		if ended == "before the takeover" {
+			first.Cancel("canceled", now)
+		}
+		second := New(testSettings(), limitedPolicy("gold", 8))
+		for _, job := range jobs {
+			second.Restore(job, first.jobs[job.ID].wholeProgress(), now)
+		}
+		second.Cancel("canceled", now)
+		second.SetWorkers(list, now)
+		for i := range list {
+			second.SetResponsive(list[i].Name, true)
+		}
+		second.Submit(simpleJob("urgent", "urgent", "gold", 1, 4, now), now)
+		_, stopped := ordersOf(settle(second, now))
+		qt.Check(t, stopped, qt.DeepEquals, []string{"canceled.0.0.0"}, qt.Commentf(ended))
+	}
+}
