Weights: a resource that a service lacks does not count

One job that asked for a resource of which the service had nothing left, such as accelerators while their workers are away, made the common level of all accounts 0. All units were then beyond their share and the weights had no effect: the order was that of the deadlines.

TestAbsentResourceLeavesShares fails without the change.

--- a/core/planner/share.go
+++ b/core/planner/share.go
@@ -140,14 +140,15 @@
 	return s
 }
 
-// dominant returns the largest share that amounts have of the service's capacity of a resource.
+// dominant returns the largest share that amounts have of the service's capacity of a resource. A resource of which the
+// service has nothing does not count: nobody can get it, whatever the order.
 func (s *shares) dominant(a resources.Amounts) float64 {
 	largest := 0.0
 	for _, pair := range [][2]int64{
 		{a.CPU, s.capacity.CPU}, {a.Memory, s.capacity.Memory}, {a.Accelerators, s.capacity.Accelerators},
 	} {
-		if pair[0] > 0 {
-			largest = max(largest, float64(pair[0])/float64(max(pair[1], 1)))
+		if pair[0] > 0 && pair[1] > 0 {
+			largest = max(largest, float64(pair[0])/float64(pair[1]))
 		}
 	}
 	return largest
@@ -201,8 +202,13 @@
 		memory += portion * float64(a.wanted.Memory)
 		accelerators += portion * float64(a.wanted.Accelerators)
 	}
-	return cpu <= float64(s.capacity.CPU) && memory <= float64(s.capacity.Memory) &&
-		accelerators <= float64(s.capacity.Accelerators)
+	return enoughOf(s.capacity.CPU, cpu) && enoughOf(s.capacity.Memory, memory) &&
+		enoughOf(s.capacity.Accelerators, accelerators)
+}
+
+// enoughOf reports whether a service has enough capacity of a resource, or nothing of it at all.
+func enoughOf(capacity int64, wanted float64) bool {
+	return capacity <= 0 || wanted <= float64(capacity)
 }
 
 // portionWithin returns the largest portion of the wanted amounts, up to 1, that a bound allows.
--- a/core/planner/share_test.go
+++ b/core/planner/share_test.go
@@ -159,3 +159,22 @@
 		qt.Check(t, share > 0.7*weight/13 && share < 1.3*weight/13, qt.IsTrue, qt.Commentf("%s: %.3f of %v", name, share, starts))
 	}
 }
+
+// TestAbsentResourceLeavesShares guards against weights without effect because one job waits for a resource of which the
+// service has nothing left.
+func TestAbsentResourceLeavesShares(t *testing.T) {
+	p, list, now := newLimitedPlanner(weightedPolicy(map[account.Name]float64{"gold": 3, "silver": 1}), 4)
+	for i := range list {
+		list[i].Capacity.Accelerators = 0
+	}
+	p.SetWorkers(list, now)
+	p.Submit(simpleJob("accelerated", "batch", "silver", 1, 1, now), now)
+	for i, name := range []string{"silver", "gold"} {
+		job := simpleJob(name, "batch", name, 60, 0, now.Add(time.Duration(i)*time.Second))
+		job.Steps[0].Needs = resources.Amounts{CPU: 1000}
+		p.Submit(job, now)
+	}
+	settle(p, now)
+	qt.Check(t, p.holdings["gold"].running.CPU, qt.Equals, int64(24000))
+	qt.Check(t, p.holdings["silver"].running.CPU, qt.Equals, int64(8000))
+}
