Weights: a job does not queue behind jobs that have ended

An account's jobs beyond its rate pushed the time at which its next job is within the rate ahead without a bound. After a burst of 600 jobs in a minute, all of them done, each later job of the account came after all others of its priority for nine minutes, although the account kept to its rate.

The time is now at most the number of the account's unfinished jobs, divided by the rate, ahead. A new leader counts the unfinished jobs only.

--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if u.job.remaining == 0 {
-		u.job.state, u.job.ended = graph.Complete, now
+		u.job.setFinal(graph.Complete, now)
 		p.markDirty(u.job.parts[0])
 	} else {
 		p.unblock(u.job, now)
--- a/core/planner/holding.go
+++ b/core/planner/holding.go
@@ -41,6 +41,8 @@
 	lesser int
 	// shares holds the amounts in running and reserved by the service of the worker.
 	shares []*serviceShare
+	// unfinished counts the jobs of the account that the planner has and that have not ended.
+	unfinished int
 	// arrivals is only used if an account has a weight.
 	arrivals arrivals
 }
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -56,6 +56,7 @@
 func (p *Planner) addJob(job *graph.Job) *jobState {
 	j := p.newJob(job)
 	p.jobs[job.ID] = j
+	j.holding.unfinished++
 	if job.Recurrence != nil {
 		p.recurring[job.ID] = j
 	}
@@ -185,11 +186,20 @@
 
 // end sets a job's final state and stops all of its units.
 func (p *Planner) end(j *jobState, state graph.State, reason string, stopReason StopReason, now time.Time) {
-	j.state, j.reason, j.ended = state, reason, now
+	j.setFinal(state, now)
+	j.reason = reason
 	j.eachUnit(func(u *unit) { p.stopUnit(u, stopReason) })
 	p.markDirty(j.parts[0])
 }
 
+// setFinal sets the state of a job that ends.
+func (j *jobState) setFinal(state graph.State, now time.Time) {
+	if !j.state.Final() {
+		j.holding.unfinished--
+	}
+	j.state, j.ended = state, now
+}
+
 // markDirty marks a part of a job's progress as changed, so that TakeChanges returns it.
 func (p *Planner) markDirty(changed *part) {
 	p.changes++
--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -19,6 +19,9 @@
 	if progress.State != "" {
 		j.state, j.stored = progress.State, progress.State
 	}
+	if j.state.Final() {
+		j.holding.unfinished--
+	}
 	j.reason, j.ended = progress.Reason, progress.Ended
 	for _, record := range progress.Units {
 		p.restoreUnit(j, record, now)
--- a/core/planner/share.go
+++ b/core/planner/share.go
@@ -38,9 +38,17 @@
 // the time does not overflow.
 const maxArrivalInterval = 24 * time.Hour
 
-// admit returns the time from which on a job is within the rate of its account.
-func (a *arrivals) admit(accepted time.Time, weight float64) time.Time {
+// maxQueuedFor bounds the number of unfinished jobs that count in admit, so that the time does not overflow.
+const maxQueuedFor = 50_000
+
+// admit returns the time from which on a job is within the rate of its account. The job queues behind the unfinished
+// jobs of the account, the number of which is given: jobs that have ended need no time any more, however fast they were
+// submitted.
+func (a *arrivals) admit(accepted time.Time, weight float64, unfinished int) time.Time {
 	interval := time.Duration(min(float64(time.Second)/weight, float64(maxArrivalInterval)))
+	if latest := accepted.Add(time.Duration(min(unfinished, maxQueuedFor)) * interval); a.next.After(latest) {
+		a.next = latest
+	}
 	a.next = later(a.next, accepted)
 	within := a.next.Add(-max(arrivalWindow-interval, 0))
 	a.next = a.next.Add(interval)
@@ -48,7 +56,7 @@
 }
 
 // admitArrivals determines from when on each job is within the rate of its account, after jobs were restored or weights
-// have changed. It takes the jobs in the order of their acceptance.
+// have changed. It takes the unfinished jobs in the order of their acceptance.
 func (p *Planner) admitArrivals() {
 	if !p.arrivalsChanged {
 		return
@@ -59,7 +67,9 @@
 	}
 	jobs := make([]*jobState, 0, len(p.jobs))
 	for _, j := range p.jobs {
-		jobs = append(jobs, j)
+		if !j.state.Final() {
+			jobs = append(jobs, j)
+		}
 	}
 	slices.SortFunc(jobs, func(a, b *jobState) int {
 		return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
@@ -72,7 +82,8 @@
 // admitArrival determines from when on a job is within the rate of its account.
 func (p *Planner) admitArrival(j *jobState) {
 	if p.anyWeighted {
-		j.withinRateAt = j.holding.arrivals.admit(j.Accepted, j.holding.effectiveWeight())
+		h := j.holding
+		j.withinRateAt = h.arrivals.admit(j.Accepted, h.effectiveWeight(), h.unfinished-1)
 	}
 }
 
