Orders above a lowered limit are not sent

The planner told which starts exceed their account's limit (OverLimit), but nothing asked it: a start that waited for its link, or one that was repeated because it had not been answered, was sent and began a run after the limit was lowered, or after a run was reported that should not exist.

Unsent starts of an account over its limit are withdrawn, the least urgent first, as on a worker over its capacity, and none is repeated until the planner has stopped it or the limit allows it.

--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -136,7 +136,7 @@
 		}
 	}
 	l, linked := o.term.links[key.worker]
-	if !linked || !o.term.role.Valid() || key.kind == startOrder && !o.term.mayStart(l) {
+	if !linked || !o.term.role.Valid() || key.kind == startOrder && !o.mayStart(l, entry) {
 		entry.nextTry = time.Now().Add(orderRetryPause)
 		return
 	}
@@ -155,10 +155,12 @@
 }
 
 // mayStart reports whether a start may be sent to a worker. A repeated start may not if it could bring the worker over
-// its capacity, because the run may not exist yet: the worker's next report settles that.
-func (t *term) mayStart(l *link) bool {
-	return l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge && t.registeredRecently(l) &&
-		!t.planner.MayOverfill(l.info.Name)
+// its capacity or the account over its limit, because the run may not exist yet: the worker's next report settles that.
+func (o *orders) mayStart(l *link, entry *order) bool {
+	a, isStart := entry.action.(planner.Start)
+	t := o.term
+	return isStart && l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge && t.registeredRecently(l) &&
+		!t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a)
 }
 
 func (o *orders) start(l *link, a planner.Start, repeated bool) {
--- a/io/coordinator/withdrawal.go
+++ b/io/coordinator/withdrawal.go
@@ -15,12 +15,15 @@
 	notAccepting withdrawalReason = "NotAccepting"
 	// noCapacity means that the worker's capacity has shrunk since the placement.
 	noCapacity withdrawalReason = "NoCapacity"
+	// aboveLimit means that the limit of the task's account was lowered since the placement, or that a run of the account
+	// was reported that should not exist.
+	aboveLimit withdrawalReason = "AboveLimit"
 	// otherKind means that the worker has started again, without the task's label or in another service.
 	otherKind withdrawalReason = "OtherKind"
 )
 
 // withdrawalReason returns the reason to withdraw a start that was not sent, or an empty reason. It does not look at
-// the worker's capacity, which concerns all starts on the worker: see withdrawExcess.
+// the worker's capacity and at the limit of the account, which concern several starts: see withdrawExcess.
 func (t *term) withdrawalReason(a planner.Start) withdrawalReason {
 	switch {
 	case !t.planner.Accepts(a.Worker):
@@ -32,24 +35,37 @@
 	}
 }
 
-// withdrawExcess withdraws starts that were not sent to a worker over its capacity, the least urgent first, until the
-// others fit.
+// withdrawExcess withdraws starts that were not sent to a worker over its capacity or of an account over its limit, the
+// least urgent first, until the others fit.
 func (o *orders) withdrawExcess() {
 	var excess []planner.Start
 	for _, entry := range o.pending {
 		a, isStart := entry.action.(planner.Start)
-		if isStart && !entry.sent && o.term.planner.OverCapacity(a.Worker) && o.term.planner.StillNeeded(a) {
+		if isStart && !entry.sent && o.excessReason(a) != "" && o.term.planner.StillNeeded(a) {
 			excess = append(excess, a)
 		}
 	}
 	o.term.planner.SortLeastUrgentFirst(excess)
 	for _, a := range excess {
-		if o.term.planner.OverCapacity(a.Worker) {
-			o.withdraw(keyOf(a), a, noCapacity)
+		if reason := o.excessReason(a); reason != "" && o.term.planner.StillNeeded(a) {
+			o.withdraw(keyOf(a), a, reason)
 		}
 	}
 }
 
+// excessReason returns the reason to withdraw a start because of all starts together on its worker or of its account, or
+// an empty reason.
+func (o *orders) excessReason(a planner.Start) withdrawalReason {
+	switch {
+	case o.term.planner.OverCapacity(a.Worker):
+		return noCapacity
+	case o.term.planner.OverLimit(a):
+		return aboveLimit
+	default:
+		return ""
+	}
+}
+
 // withdraw drops a start that was not sent. The run does not exist, and the planner places the task again.
 func (o *orders) withdraw(key orderKey, a planner.Start, reason withdrawalReason) {
 	delete(o.pending, key)
