No start of a limited account on an old configuration

Nothing bounded the age of the configuration by which a leader started work: one whose watch of the configuration stalled, while its writes went through, applied a limit that may have been lowered long ago. The users apply the higher limit for 3 s only.

Starts of accounts with a limit wait while the configuration was not confirmed within 2.4 s, which with an attempt of 0.6 s stays within the 3 s. A watch call without an answer is followed by a read within 2 s. Accounts without a limit do not wait. The log says when the wait begins and ends. TestNoLimitedStartOnOldConfiguration fails without the check: 2 starts instead of 0.

--- a/core/planner/limit.go
+++ b/core/planner/limit.go
@@ -186,6 +186,12 @@
 	return known && j.holding.isOver()
 }
 
+// Limited reports whether the account of a start has a limit.
+func (p *Planner) Limited(start Start) bool {
+	j, known := p.jobs[start.Task.Job]
+	return known && j.holding.limited
+}
+
 // isOver reports whether the account's runs exceed its limit and will still do so when the runs have ended that are
 // being stopped.
 func (h *holding) isOver() bool {
--- a/io/coordinator/accounts.go
+++ b/io/coordinator/accounts.go
@@ -30,6 +30,8 @@
 	// reached holds the accounts that are at their limits. over holds the jobs that are known to wait for a higher limit.
 	reached map[account.Name]*reachedLimit
 	over    map[graph.ID]bool
+	// unconfirmed is set while the configuration is not confirmed.
+	unconfirmed bool
 }
 
 // reachedLimit is the state of an account that is at its limit.
@@ -55,9 +57,22 @@
 		w.update(nil, nil, now)
 		return
 	}
+	w.updateConfirmed(t.policyConfirmed())
 	w.update(t.planner.AccountUsage(), t.planner.JobsOverLimit(), now)
 }
 
+// updateConfirmed logs when the starts of accounts with a limit begin and cease to wait for the configuration to be
+// confirmed.
+func (w *accountWatch) updateConfirmed(confirmed bool) {
+	switch {
+	case w.unconfirmed && confirmed:
+		w.config.Log.Info("configuration confirmed again")
+	case !w.unconfirmed && !confirmed:
+		w.config.Log.Warn("configuration not confirmed, starts of accounts with a limit wait", "after", maxPolicyAge.String())
+	}
+	w.unconfirmed = !confirmed
+}
+
 // update takes a reading of the usage of accounts, and of the jobs that wait for a higher limit.
 func (w *accountWatch) update(usages []planner.AccountUsage, over []planner.JobOverLimit, now time.Time) {
 	w.config.Metrics.setAccounts(usages, over)
--- a/io/coordinator/limit_test.go
+++ b/io/coordinator/limit_test.go
@@ -9,8 +9,18 @@
 
 	"auburnstack/core/policy"
 	"auburnstack/core/resources"
+	"auburnstack/io/policywatch"
 )
 
+// setLimit makes a policy with a limit known to the term, as if it was confirmed at the given time.
+func (c *capacityTerm) setLimit(accelerators int64, confirmed time.Time) {
+	next := limitedPolicy(accelerators)
+	c.config.Policy = func() *policywatch.Snapshot {
+		return &policywatch.Snapshot{Policy: next, ConfirmedAt: confirmed}
+	}
+	c.planner.SetPolicy(next)
+}
+
 // limitedPolicy returns the policy of a capacityTerm with a limit of accelerators for the account of its jobs.
 func limitedPolicy(accelerators int64) *policy.Policy {
 	return &policy.Policy{
@@ -28,7 +38,7 @@
 		c.link.setUnresponsive(true)
 		c.orders.issue(c.starts[0])
 		c.orders.issue(c.starts[1])
-		c.planner.SetPolicy(limitedPolicy(1))
+		c.setLimit(1, time.Now())
 		c.retryOrders()
 		qt.Check(t, c.orders.pending, qt.HasLen, 1)
 		c.retryOrders()
@@ -43,13 +53,36 @@
 		c := newCapacityTerm(t)
 		defer c.close()
 		c.startUnanswered()
-		c.planner.SetPolicy(limitedPolicy(1))
+		c.setLimit(1, time.Now())
 		time.Sleep(orderRetryPause)
 		c.retryOrders()
 		qt.Check(t, c.worker.startCount(), qt.Equals, 2)
 
-		c.planner.SetPolicy(limitedPolicy(2))
+		c.setLimit(2, time.Now())
 		c.retryOrders()
 		qt.Check(t, c.worker.startCount(), qt.Equals, 4)
 	})
 }
+
+// TestNoLimitedStartOnOldConfiguration guards against a leader whose configuration can't be confirmed and that starts work
+// by a limit that may have been lowered long ago. Accounts without a limit must not wait for it.
+func TestNoLimitedStartOnOldConfiguration(t *testing.T) {
+	for limit, sent := range map[int64]int{0: 2, 8: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCapacityTerm(t)
+			defer c.close()
+			confirmed := time.Now()
+			c.setLimit(limit, confirmed)
+			time.Sleep(maxPolicyAge)
+			c.register()
+			c.link.setUnresponsive(false)
+			c.orders.issue(c.starts[0])
+			c.orders.issue(c.starts[1])
+			synctest.Wait()
+			qt.Check(t, c.worker.startCount(), qt.Equals, sent, qt.Commentf("limit %d", limit))
+			c.setLimit(limit, time.Now())
+			c.retryOrders()
+			qt.Check(t, c.worker.startCount(), qt.Equals, 2, qt.Commentf("limit %d", limit))
+		})
+	}
+}
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -20,6 +20,11 @@
 	// maxRosterAge is the age of the workers' registrations from which on no start is sent: a worker may have announced
 	// since then that it leaves. It is shorter than the time for which such a worker still accepts work.
 	maxRosterAge = 1800 * time.Millisecond
+	// maxPolicyAge is the time since the configuration was confirmed to be the newest from which on no start is sent for
+	// an account with a limit: the limit may have been lowered since. A limit may be exceeded for the first 3 s after it
+	// was lowered, and an attempt to send a start takes up to orderTimeout. While the store answers, the configuration is
+	// confirmed every 0.8 s, and within 2 s if one watch call gets no answer.
+	maxPolicyAge = 2400 * time.Millisecond
 )
 
 // orderKey identifies an order. For each run, a worker has at most one pending order of each kind.
@@ -160,7 +165,12 @@
 	a, isStart := entry.action.(planner.Start)
 	t := o.term
 	return isStart && l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge && t.registeredRecently(l) &&
-		!t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a)
+		!t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a) && (!t.planner.Limited(a) || t.policyConfirmed())
+}
+
+// policyConfirmed reports whether the configuration was confirmed to be the newest within maxPolicyAge.
+func (t *term) policyConfirmed() bool {
+	return time.Since(t.config.Policy().ConfirmedAt) < maxPolicyAge
 }
 
 func (o *orders) start(l *link, a planner.Start, repeated bool) {
