Configuration: a missed valid version no longer counts as seen

A VM that had missed a valid configuration and then saw the invalid one after it kept the policy before both under the newest revision. The same happened without any gap when one call of the watch returned both versions.

All versions in an answer are now decoded. A VM on its own keeps the older policy, as before.

--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -1,6 +1,8 @@
 // Package policywatch watches the operators' configuration in the store, and takes the configuration from other VMs
 // when the store does not answer. It never replaces an adopted configuration with an older one. When the newest
-// configuration is invalid, the earlier policy stays in force under the revision of the invalid one.
+// configuration is invalid, the earlier policy stays in force under the revision of the invalid one. A VM that may have
+// missed a valid configuration in between gives its snapshot a ChangedAt below the revision of the invalid one, so that
+// the snapshots of VMs that have missed none are newer.
 package policywatch
 
 import (
@@ -71,6 +73,9 @@
 	mirror *mirror.Mirror
 	// valid is the last item with a configuration that could be decoded. Only the goroutine of the mirror uses valid.
 	valid store.Item
+	// gap is set if there may have been a valid configuration between valid and the mirrored one. Only the goroutine of
+	// the mirror uses gap.
+	gap bool
 }
 
 // New starts to watch the configuration. onAdopted is called after each adoption of a newer configuration.
@@ -99,10 +104,12 @@
 
 // Replaced implements mirror.Listener. It replaces all items and adopts their configuration if it is newer.
 func (w *Watcher) Replaced(items []store.Item, at store.Revision) {
+	before := w.items[w.codec.Key()]
 	w.items = map[string]store.Item{}
 	for _, item := range items {
 		w.items[item.Key] = item
 	}
+	w.gap = w.gap || w.items[w.codec.Key()].Revision != before.Revision
 	w.publish(at)
 }
 
@@ -120,12 +127,23 @@
 			delete(w.items, event.Key)
 		} else {
 			w.items[event.Key] = event.Item
+			w.keepValid(event.Item)
 		}
 	}
 	// The store's revision in the answer also counts other keys, and differs from one VM to the next.
 	w.publish(changedAt)
 }
 
+// keepValid keeps a changed item if it is a valid configuration. A later event of the same call may replace the item.
+func (w *Watcher) keepValid(item store.Item) {
+	if item.Key != w.codec.Key() {
+		return
+	}
+	if _, err := w.codec.Decode(w.items); err == nil {
+		w.valid, w.gap = item, false
+	}
+}
+
 // publish decodes the mirrored items, which hold the operators' keys as of the store revision at, and adopts the
 // resulting configuration if it is newer.
 func (w *Watcher) publish(at store.Revision) {
@@ -137,7 +155,34 @@
 	if decoded == nil {
 		return
 	}
-	w.adopt(&Snapshot{Policy: decoded, Revision: item.Revision, ChangedAt: at, ConfirmedAt: time.Now()}, true)
+	next := &Snapshot{Policy: decoded, Revision: item.Revision, ChangedAt: at, ConfirmedAt: time.Now()}
+	if w.gap {
+		w.publishAfterGap(next)
+		return
+	}
+	w.adopt(next, true)
+}
+
+// publishAfterGap adopts a snapshot whose configuration is invalid and whose policy may not be the last valid one. If
+// another VM has sent the policy that is in force, only the parts from the operators' other keys are taken over.
+func (w *Watcher) publishAfterGap(next *Snapshot) {
+	current := w.current.Load()
+	if current.Revision == next.Revision && current.Policy != nil {
+		merged := *current.Policy
+		merged.Out, merged.Waves = next.Policy.Out, next.Policy.Waves
+		next.Policy = &merged
+		if !current.uncertain() {
+			w.adopt(next, true)
+			return
+		}
+	}
+	next.ChangedAt = min(next.ChangedAt, next.Revision-1)
+	w.replace(next)
+}
+
+// uncertain reports whether the policy of a snapshot may be older than its revision.
+func (s *Snapshot) uncertain() bool {
+	return s.ChangedAt < s.Revision
 }
 
 // decodeItems decodes the mirrored items. If the configuration, which the parameter item holds, is invalid, decodeItems
@@ -145,7 +190,7 @@
 func (w *Watcher) decodeItems(item store.Item) *policy.Policy {
 	decoded, err := w.codec.Decode(w.items)
 	if err == nil {
-		w.valid = item
+		w.valid, w.gap = item, false
 		return decoded
 	}
 	w.logRejected(item, err)
@@ -174,16 +219,17 @@
 	if item.Key != w.codec.Key() || item.Revision <= current.Revision {
 		return
 	}
+	changedAt := current.ChangedAt
 	decoded, err := w.codec.Decode(map[string]store.Item{item.Key: item})
 	switch {
 	case err != nil:
 		w.logRejected(item, err)
-		decoded = current.Policy
+		decoded, changedAt = current.Policy, min(changedAt, item.Revision-1)
 	case current.Policy != nil:
 		decoded.Out, decoded.Waves = current.Policy.Out, current.Policy.Waves
 	}
 	w.adopt(&Snapshot{
-		Policy: decoded, Revision: item.Revision, ChangedAt: current.ChangedAt, ConfirmedAt: time.Now(),
+		Policy: decoded, Revision: item.Revision, ChangedAt: changedAt, ConfirmedAt: time.Now(),
 	}, true)
 }
 
@@ -209,6 +255,19 @@
 	w.onAdopted(next, fromStore)
 }
 
+// replace replaces the current snapshot unless that one is newer.
+func (w *Watcher) replace(next *Snapshot) {
+	w.mu.Lock()
+	older := w.current.Load().Newer(next)
+	if !older {
+		w.current.Store(next)
+	}
+	w.mu.Unlock()
+	if !older {
+		w.onAdopted(next, true)
+	}
+}
+
 // ConfirmCurrent takes over the confirmation time of another snapshot if that snapshot identifies the current
 // configuration and was confirmed later.
 func (w *Watcher) ConfirmCurrent(other *Snapshot) {
