--- a/core/planner/action.go
+++ b/core/planner/action.go
@@ -19,6 +19,16 @@
 	Checkpoint string
 	// Ticket is the adviser's permission to start the task on this worker. Ticket is empty for queues without advice.
 	Ticket string
+	// Speeds is set for the first member of an urgent unit that was placed by learned speeds.
+	Speeds SpeedForecast
+}
+
+// SpeedForecast is what the learned speeds of a unit's workers promise at its start.
+type SpeedForecast struct {
+	// Slowest is the expected relative speed of the slowest worker. It is 0 if speeds were not considered.
+	Slowest float64
+	// Chance is the probability that all workers are fast enough for the unit's objective.
+	Chance float64
 }
 
 // Stop orders a worker to end a run. The caller of Plan sends the order again until the worker has accepted it or the
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -185,6 +185,7 @@
 		u.job.firstStart = now
 	}
 	u.resumed = u.checkpoint != ""
+	forecast := p.forecast(u, now)
 	for _, m := range u.members {
 		m.percent = -1
 		m.pace = fullPercent
@@ -193,7 +194,9 @@
 		p.LeaseRenewed(m.worker.Name, now)
 		start := Start{
 			Worker: m.worker.Name, Task: u.task(m.index), Run: u.run, Spec: u.job.Spec, Checkpoint: u.checkpoint,
+			Speeds: forecast,
 		}
+		forecast = SpeedForecast{}
 		if held, permitted := p.validPermit(u, m.worker, now); permitted {
 			start.Ticket = held.ticket
 		}
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -81,6 +81,8 @@
 	out     strings.Builder
 	workers map[string]*roster.Worker
 	policy  *policy.Policy
+	// learns is set if speeds are learned.
+	learns bool
 	// running holds, for each worker, the start order of each task that runs there.
 	running map[endpoint.Name]map[graph.TaskID]Start
 	// percent and reading hold, for each task, the values of RunningTask.Percent and RunningTask.Reading that its
@@ -147,6 +149,9 @@
 		p.percent[p.task(words[1])] = p.number(words[2])
 	case "takeover":
 		p.takeover()
+	case "learn":
+		p.learns = true
+		p.replacePlanner()
 	case "crash":
 		p.crash(endpoint.Name(words[1]))
 	default:
@@ -372,7 +377,7 @@
 
 // takeover replaces the planner with a new one that knows only the stored progress.
 func (p *scriptRunner) takeover() {
-	p.planner = New(testSettings(), p.policy)
+	p.replacePlanner()
 	var ids []string
 	for id := range p.jobs {
 		ids = append(ids, string(id))
@@ -416,7 +421,7 @@
 func (p *scriptRunner) carryOut(action Action) {
 	switch a := action.(type) {
 	case Start:
-		fmt.Fprintf(&p.out, "start %s run %d on %s %s\n", a.Task, a.Run, a.Worker, a.Checkpoint+a.Ticket)
+		fmt.Fprintf(&p.out, "start %s run %d on %s %s\n", a.Task, a.Run, a.Worker, a.Checkpoint+a.Ticket+a.Speeds.describe())
 		if p.rejectTicket {
 			p.rejectTicket = false
 			p.planner.StartAnswered(a, NotPermitted, p.now)
--- a/core/planner/speedplace.go
+++ b/core/planner/speedplace.go
@@ -255,6 +255,26 @@
 	return f.places
 }
 
+// forecast returns what the learned speeds promise for the start of a unit of priority 0, for the log.
+func (p *Planner) forecast(u *unit, now time.Time) SpeedForecast {
+	if u.job.queue.Priority > 0 || !p.placedBySpeed(u) {
+		return SpeedForecast{}
+	}
+	needed := p.neededSpeed(u, now)
+	f := SpeedForecast{Slowest: math.Inf(1), Chance: 1}
+	counted := map[*worker]bool{}
+	for _, m := range u.members {
+		if counted[m.worker] {
+			continue
+		}
+		counted[m.worker] = true
+		view := p.speedOf(m.worker, now)
+		f.Slowest = min(f.Slowest, math.Exp(view.estimate.Mean))
+		f.Chance *= view.chance(needed)
+	}
+	return f
+}
+
 // isSlowForUrgent reports whether a worker is known to be too slow for urgent units. Other units may use it even in a
 // rack that is kept free.
 func (p *Planner) isSlowForUrgent(w *worker, now time.Time) bool {
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -105,8 +106,13 @@
 	switch a := action.(type) {
 	case planner.Start:
 		o.term.config.Metrics.startOrdered()
-		o.term.config.Log.Info("starting", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
-			"worker", a.Worker, "resumes", a.Checkpoint != "")
+		fields := []any{"job", a.Task.Job, "task", a.Task.String(), "run", a.Run, "worker", a.Worker,
+			"resumes", a.Checkpoint != ""}
+		if a.Speeds.Slowest > 0 {
+			fields = append(fields, "slowest", fmt.Sprintf("%.2f", a.Speeds.Slowest),
+				"chance", fmt.Sprintf("%.2f", a.Speeds.Chance))
+		}
+		o.term.config.Log.Info("starting", fields...)
 	case planner.Stop:
 		o.term.config.Metrics.stopOrdered(a.Reason)
 		o.term.config.Log.Info("stopping", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
