Limits: the property test also draws learned speeds

Evictions and the choice of workers depend on learned speeds, and the test of limits played without them.

--- a/core/planner/latesite_test.go
+++ b/core/planner/latesite_test.go
@@ -31,7 +31,9 @@
 // answering and restart, and leaders that take over. At each begin of a run it checks what the workers really run for
 // each account.
 type lateSite struct {
-	t       *rapid.T
+	t *rapid.T
+	// learns is set if speeds are learned.
+	learns  bool
 	planner *Planner
 	now     time.Time
 	// term is the number of the current leader.
@@ -93,12 +95,30 @@
 		})
 	}
 	s.drawLimits()
-	s.planner = New(testSettings(), s.policy)
-	s.setWorkers()
+	s.learns = rapid.Bool().Draw(t, "learns")
+	s.newPlanner()
 	s.heartbeat()
 	return s
 }
 
+// newPlanner replaces the planner. If speeds are learned, the new one begins with speeds that are drawn.
+func (s *lateSite) newPlanner() {
+	settings := testSettings()
+	settings.LearnSpeeds = s.learns
+	s.planner = New(settings, s.policy)
+	s.setWorkers()
+	if !s.learns {
+		return
+	}
+	logs := map[endpoint.Name]int{}
+	for _, w := range s.workers {
+		logs[w.Name] = rapid.SampledFrom([]int{-700, 0, 400}).Draw(s.t, "log speed")
+	}
+	if err := s.planner.RestoreSpeeds(speedsOf(s.planner, s.now, logs), s.now); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 func (s *lateSite) setWorkers() {
 	var list []roster.Worker
 	for _, w := range s.workers {
--- a/core/planner/limitproperty_test.go
+++ b/core/planner/limitproperty_test.go
@@ -104,8 +104,7 @@
 	}
 	s.term++
 	clear(s.stops)
-	s.planner = New(testSettings(), s.policy)
-	s.setWorkers()
+	s.newPlanner()
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		job := s.jobs[id]
 		if progress, begun := s.stored[id]; begun {
