Headroom does not keep a waiting gang from an idle service

The accelerators kept free for urgent jobs, up to 45 percent, left 7 of 51 free ones to other work while urgent jobs arrived at a high rate. A gang of 15 that was not urgent then waited without end in a service of which less than half was in use, which the users count as a lost job.

TestHeadroomOfAnIdleService fails without the change.

--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -62,6 +62,8 @@
 	// available is the number of accelerators that units that are not urgent may take now. ceiling is the number of
 	// accelerators that these units could take if nothing ran.
 	available, ceiling int64
+	// free is the number of accelerators that can be reserved, including those kept free, and total the number of all.
+	free, total int64
 	// keptFree holds the racks that are kept free for urgent units: those with the most free accelerators. Most urgent
 	// gangs ask for a single rack, so free accelerators scattered over many racks would not help them.
 	keptFree map[endpoint.Rack]bool
@@ -74,6 +76,13 @@
 	return wanted == 0 || wanted <= s.available || wanted > s.ceiling
 }
 
+// allowsWaiting reports whether a unit that has waited for headroomWait may take the given number of accelerators, kept
+// free or not. The users count a job as lost if it has nothing running for 3 s although there is room for twice as much
+// and less than half of the service is in use.
+func (s *spareCapacity) allowsWaiting(wanted int64) bool {
+	return 2*wanted <= s.free && 2*s.free > s.total
+}
+
 // hasUrgentQueue reports whether a service has a queue of urgent jobs.
 func (p *Planner) hasUrgentQueue(service string) bool {
 	for i := range p.policy.Queues {
@@ -102,7 +111,7 @@
 		racks[w.Rack] += available
 	}
 	if !p.hasUrgentQueue(service) || !p.prefersUrgent() {
-		return &spareCapacity{available: free, ceiling: total}
+		return &spareCapacity{available: free, ceiling: total, free: free, total: total}
 	}
 	target := p.headroom.target(total, now)
 	available := free - target
@@ -110,7 +119,9 @@
 		// Urgent units don't need the workers that are too slow for them.
 		available = max(available, slow)
 	}
-	return &spareCapacity{available: available, ceiling: total - target, keptFree: freestRacks(racks, target)}
+	return &spareCapacity{
+		available: available, ceiling: total - target, free: free, total: total, keptFree: freestRacks(racks, target),
+	}
 }
 
 // freestRacks returns the racks with the most free accelerators: as many racks as are needed to have the wanted number
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -112,7 +112,7 @@
 func (p *Planner) placeOne(u *unit, r *round) {
 	spare := p.spareFor(r, u.job.queue.Service)
 	wanted := u.spec().Needs.Accelerators * int64(u.size())
-	if p.blockedByLimit(u) || !u.urgent() && !spare.allows(wanted) || p.knownToFail(r, u) {
+	if p.blockedByLimit(u) || !u.urgent() && !u.allowedBy(spare, wanted, r.now) || p.knownToFail(r, u) {
 		return
 	}
 	found := p.find(newSearch(r, u, u.size()), spare)
@@ -129,6 +129,12 @@
 	p.assign(u, found.places, r)
 }
 
+// allowedBy reports whether the headroom of a service leaves the wanted number of accelerators to a unit that is not
+// urgent.
+func (u *unit) allowedBy(spare *spareCapacity, wanted int64, now time.Time) bool {
+	return spare.allows(wanted) || now.Sub(u.waitingSince) >= headroomWait && spare.allowsWaiting(wanted)
+}
+
 // find returns workers for a unit and the work to stop there, or nil.
 func (p *Planner) find(s search, spare *spareCapacity) *eviction {
 	if s.unit.exceedsLimit() {
@@ -161,7 +167,9 @@
 // assign reserves capacity for a unit on the given workers, one worker per task.
 func (p *Planner) assign(u *unit, places []*worker, r *round) {
 	spare := p.spareFor(r, u.job.queue.Service)
-	spare.available -= u.spec().Needs.Accelerators * int64(u.size())
+	wanted := u.spec().Needs.Accelerators * int64(u.size())
+	spare.available -= wanted
+	spare.free -= wanted
 	delete(p.waiting, u)
 	u.reserve(places)
 	u.phase = awaitingCapacity
