--- a/core/planner/lostrule_test.go
+++ b/core/planner/lostrule_test.go
@@ -113,15 +113,7 @@
 		j.eachUnit(func(u *unit) {
 			waits = waits && (u.phase == waiting || u.phase == awaitingCapacity || u.phase == recording)
 		})
-		switch {
-		case !waits || !j.firstStart.IsZero() || !s.entitled(j):
-			delete(s.entitledSince, id)
-		case s.entitledSince[id].IsZero():
-			s.entitledSince[id] = s.now
-			s.entitledSeen++
-		case s.now.Sub(s.entitledSince[id]) > reclaimTime:
-			s.late = append(s.late, fmt.Sprintf("%s of %s: %d x %d", id, j.ClientAccount, u.size(), u.spec().Needs.Accelerators))
-		}
+		s.checkEntitled(j, waits)
 		if !waits || !half || !s.fitsTwice(u) || !underHalf(j.holding, u) {
 			delete(s.idle, id)
 			continue
@@ -136,6 +128,20 @@
 	}
 }
 
+// checkEntitled applies the rule on urgent work within its guarantee.
+func (s *lostSite) checkEntitled(j *jobState, waits bool) {
+	id := j.ID
+	switch since, known := s.entitledSince[id]; {
+	case !waits || !j.firstStart.IsZero() || !s.entitled(j):
+		delete(s.entitledSince, id)
+	case !known:
+		s.entitledSince[id] = s.now
+		s.entitledSeen++
+	case s.now.Sub(since) > reclaimTime:
+		s.late = append(s.late, fmt.Sprintf("%s of %s", id, j.ClientAccount))
+	}
+}
+
 func (s *lostSite) fitsTwice(u *unit) bool {
 	count := 0
 	for _, w := range s.planner.workersByName {
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -149,9 +149,6 @@
 		p.percent[p.task(words[1])] = p.number(words[2])
 	case "takeover":
 		p.takeover()
-	case "learn":
-		p.learns = true
-		p.replacePlanner()
 	case "crash":
 		p.crash(endpoint.Name(words[1]))
 	default:
@@ -159,9 +156,12 @@
 	}
 }
 
-// runServingCommand runs the commands for tail latency, retired workers and advised queues.
+// runServingCommand runs the commands for learned speeds, tail latency, retired workers and advised queues.
 func (p *scriptRunner) runServingCommand(words []string) {
 	switch words[0] {
+	case "learn":
+		p.learns = true
+		p.replacePlanner()
 	case "tail":
 		p.reading[p.task(words[1])] = float64(p.number(words[2]))
 	case "retire":
