--- a/io/coordinator/withdrawal.go
+++ b/io/coordinator/withdrawal.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// excessReason returns the reason to withdraw a start because of all starts together on its worker or of its account, or
-// an empty reason.
+// excessReason returns the reason to withdraw a start because of all starts on its worker or of its account together,
+// or an empty reason.
 func (o *orders) excessReason(a planner.Start) withdrawalReason {
 	switch {
 	case o.term.planner.OverCapacity(a.Worker):
