A gang's member that waits for a slower one is not stalled

On workers of different speeds, the fast members of a gang have done their work long before the slowest one ends. A member whose progress stayed at 99 percent for 2.5 s counted as stalled: the gang was stopped, its work was lost, the fast worker was charged with a failure, and the next run ended in the same way.

A member from 97 percent on is not stalled while another member of its gang is behind or makes progress. That one counts as stalled itself if it makes none.

--- a/core/planner/stall.go
+++ b/core/planner/stall.go
@@ -35,6 +35,25 @@
 		// The task was ordered to run slowly or to pause.
 		return false
 	}
+	return p.withoutProgress(m) && !p.waitsForOthers(m)
+}
+
+// waitsForOthers reports whether a member of a gang has done its own work and waits for a member that is slower. Such a
+// member is behind, or has made progress within its stall timeout. If it makes none, it is stalled itself.
+func (p *Planner) waitsForOthers(m *member) bool {
+	if m.percent < almostDone {
+		return false
+	}
+	for _, other := range m.unit.members {
+		if other != m && other.state != ended && (other.percent < almostDone || !p.withoutProgress(other)) {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutProgress reports whether a member has made no progress for its stall timeout, by the clock of its worker.
+func (p *Planner) withoutProgress(m *member) bool {
 	return m.percentClock != noClock && m.worker.clock-m.percentClock >= p.stallTimeoutOf(m)
 }
 
