--- a/standin/memworker/limit.go
+++ b/standin/memworker/limit.go
@@ -71,3 +71,17 @@
 func exceeds(need, sum, limit int64) bool {
 	return need > 0 && limit > 0 && sum > limit
 }
+
+// UsesHalf reports whether all runs together use at least half of the limit in some resource. The users count no job of
+// such an account as lost.
+func (f *Fleet) UsesHalf() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum resources.Amounts
+	for _, w := range f.workers {
+		sum = sum.Add(w.used())
+	}
+	half := func(used, limit int64) bool { return limit > 0 && 2*used >= limit }
+	return half(sum.CPU, f.limit.CPU) || half(sum.Memory, f.limit.Memory) ||
+		half(sum.Accelerators, f.limit.Accelerators)
+}
--- a/standin/memworker/start.go
+++ b/standin/memworker/start.go
@@ -95,5 +95,5 @@
 		w.fleet.failedRuns[task]++
 		kind = planner.EndFailed
 	}
-	r.workTimer = time.AfterFunc(r.plan.Work, func() { w.endIfRunning(task, r, kind) })
+	r.workTimer = time.AfterFunc(w.slowestWork(task, r), func() { w.endIfRunning(task, r, kind) })
 }
