--- a/core/planner/limit.go
+++ b/core/planner/limit.go
@@ -47,7 +47,7 @@
 	}
 	places := p.place(s, (*worker).free)
 	if places == nil {
-		return p.findEviction(s)
+		return p.findFastEviction(s)
 	}
 	t := &tally{search: s, missing: s.missing, total: s.tasks}
 	e := &eviction{victims: t.prune(p.chooseForLimit(t, nil)), places: places}
@@ -186,6 +186,12 @@
 	return known && j.holding.isOver()
 }
 
+// Limited reports whether the account of a start has a limit.
+func (p *Planner) Limited(start Start) bool {
+	j, known := p.jobs[start.Task.Job]
+	return known && j.holding.limited
+}
+
 // isOver reports whether the account's runs exceed its limit and will still do so when the runs have ended that are
 // being stopped.
 func (h *holding) isOver() bool {
--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -12,11 +12,16 @@
 	if _, known := p.jobs[job.ID]; known {
 		return
 	}
+	// Stops of restored runs are dated although Plan was not called yet.
+	p.now = later(p.now, now)
 	j := p.addJob(job)
 	p.arrivalsChanged = true
 	if progress.State != "" {
 		j.state, j.stored = progress.State, progress.State
 	}
+	if j.state.Final() {
+		j.holding.unfinished--
+	}
 	j.reason, j.ended = progress.Reason, progress.Ended
 	for _, record := range progress.Units {
 		p.restoreUnit(j, record, now)
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,11 @@
 	// maxRosterAge is the age of the workers' registrations from which on no start is sent: a worker may have announced
 	// since then that it leaves. It is shorter than the time for which such a worker still accepts work.
 	maxRosterAge = 1800 * time.Millisecond
+	// maxPolicyAge is the time since the configuration was confirmed to be the newest from which on no start is sent for
+	// an account with a limit: the limit may have been lowered since. A limit may be exceeded for the first 3 s after it
+	// was lowered, and an attempt to send a start takes up to orderTimeout. While the store answers, the configuration is
+	// confirmed every 0.8 s, and within 2 s if one watch call gets no answer.
+	maxPolicyAge = 2400 * time.Millisecond
 )
 
 // orderKey identifies an order. For each run, a worker has at most one pending order of each kind.
@@ -100,8 +106,13 @@
 	switch a := action.(type) {
 	case planner.Start:
 		o.term.config.Metrics.startOrdered()
-		o.term.config.Log.Info("starting", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
-			"worker", a.Worker, "resumes", a.Checkpoint != "")
+		fields := []any{"job", a.Task.Job, "task", a.Task.String(), "run", a.Run, "worker", a.Worker,
+			"resumes", a.Checkpoint != ""}
+		if a.Speeds.Slowest > 0 {
+			fields = append(fields, "slowest", fmt.Sprintf("%.2f", a.Speeds.Slowest),
+				"chance", fmt.Sprintf("%.2f", a.Speeds.Chance))
+		}
+		o.term.config.Log.Info("starting", fields...)
 	case planner.Stop:
 		o.term.config.Metrics.stopOrdered(a.Reason)
 		o.term.config.Log.Info("stopping", "job", a.Task.Job, "task", a.Task.String(), "run", a.Run,
@@ -136,7 +147,7 @@
 		}
 	}
 	l, linked := o.term.links[key.worker]
-	if !linked || !o.term.role.Valid() || !o.maySend(l, entry.action) {
+	if !linked || !o.term.role.Valid() || key.kind == startOrder && !o.mayStart(l, entry) {
 		entry.nextTry = time.Now().Add(orderRetryPause)
 		return
 	}
@@ -154,18 +165,18 @@
 	})
 }
 
-// maySend reports whether an order may be sent to a worker now. A start may not if it could exceed the limit of its
-// account: the run of a repeated start may not exist yet.
-func (o *orders) maySend(l *link, action planner.Action) bool {
-	a, isStart := action.(planner.Start)
-	return !isStart || o.term.mayStart(l) && !o.term.planner.OverLimit(a)
+// mayStart reports whether a start may be sent to a worker. A repeated start may not if it could bring the worker over
+// its capacity or the account over its limit, because the run may not exist yet: the worker's next report settles that.
+func (o *orders) mayStart(l *link, entry *order) bool {
+	a, isStart := entry.action.(planner.Start)
+	t := o.term
+	return isStart && l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge && t.registeredRecently(l) &&
+		!t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a) && (!t.planner.Limited(a) || t.policyConfirmed())
 }
 
-// mayStart reports whether a start may be sent to a worker. A repeated start may not if it could bring the worker over
-// its capacity, because the run may not exist yet: the worker's next report settles that.
-func (t *term) mayStart(l *link) bool {
-	return l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge && t.registeredRecently(l) &&
-		!t.planner.MayOverfill(l.info.Name)
+// policyConfirmed reports whether the configuration was confirmed to be the newest within maxPolicyAge.
+func (t *term) policyConfirmed() bool {
+	return time.Since(t.config.Policy().ConfirmedAt) < maxPolicyAge
 }
 
 func (o *orders) start(l *link, a planner.Start, repeated bool) {
--- a/io/coordinator/withdrawal.go
+++ b/io/coordinator/withdrawal.go
@@ -15,14 +15,15 @@
 	notAccepting withdrawalReason = "NotAccepting"
 	// noCapacity means that the worker's capacity has shrunk since the placement.
 	noCapacity withdrawalReason = "NoCapacity"
+	// aboveLimit means that the limit of the task's account was lowered since the placement, or that a run of the account
+	// was reported that should not exist.
+	aboveLimit withdrawalReason = "AboveLimit"
 	// otherKind means that the worker has started again, without the task's label or in another service.
 	otherKind withdrawalReason = "OtherKind"
-	// aboveLimit means that the limit of the job's account was lowered since the placement.
-	aboveLimit withdrawalReason = "AboveLimit"
 )
 
 // withdrawalReason returns the reason to withdraw a start that was not sent, or an empty reason. It does not look at
-// the worker's capacity or the account's limit, which concern other starts as well: see withdrawExcess.
+// the worker's capacity and at the limit of the account, which concern several starts: see withdrawExcess.
 func (t *term) withdrawalReason(a planner.Start) withdrawalReason {
 	switch {
 	case !t.planner.Accepts(a.Worker):
@@ -34,8 +35,8 @@
 	}
 }
 
-// withdrawExcess withdraws starts that were not sent and that exceed the capacity of their worker or the limit of their
-// account, the least urgent first, until the others fit.
+// withdrawExcess withdraws starts that were not sent to a worker over its capacity or of an account over its limit, the
+// least urgent first, until the others fit.
 func (o *orders) withdrawExcess() {
 	var excess []planner.Start
 	for _, entry := range o.pending {
@@ -46,13 +47,14 @@
 	}
 	o.term.planner.SortLeastUrgentFirst(excess)
 	for _, a := range excess {
-		if reason := o.excessReason(a); reason != "" {
+		if reason := o.excessReason(a); reason != "" && o.term.planner.StillNeeded(a) {
 			o.withdraw(keyOf(a), a, reason)
 		}
 	}
 }
 
-// excessReason returns the reason to withdraw a start that exceeds a bound, or an empty reason.
+// excessReason returns the reason to withdraw a start because of all starts on its worker or of its account together,
+// or an empty reason.
 func (o *orders) excessReason(a planner.Start) withdrawalReason {
 	switch {
 	case o.term.planner.OverCapacity(a.Worker):
