--- a/standin/memworker/machine.go
+++ b/standin/memworker/machine.go
@@ -209,7 +209,7 @@
 	for task, r := range w.runs {
 		percent := 0
 		if r.workTimer != nil {
-			percent = int(min(time.Since(r.startedAt)*99/r.plan.Work, 99))
+			percent = int(min(time.Since(r.startedAt)*99/max(r.plan.Work, 1), 99))
 			if w.hung {
 				percent = 0
 			}
