Bound the submissions that are decoded at a time, and charge decoded jobs by their size

Cause: a served submission was charged three times its body. The decoder may allocate eight times the body and 192 KiB, and a short body of 256 steps decodes to many times its size, which was charged nowhere until the next collection counted it as memory of the rest of the process. Change: at most two submissions are decoded or encoded at a time, those that other VMs relay included. The decoded job and the copies of its encoding are then charged; without room the submission is refused (503) before it is admitted or stored. Measured: 50 submissions at a time were decoded without the bound, now 2 (io/intake TestFewSubmissionsAreDecodedAtATime); io/bounded TestServedRequestsAreCharged fails without the charge.

--- a/core/graph/footprint.go
+++ b/core/graph/footprint.go
@@ -23,3 +23,14 @@
 	}
 	return bytes + int64(j.Occurrences())*(int64(len(j.Steps))*occurrenceFootprint+tasks*taskFootprint)
 }
+
+// DecodedBytes returns an upper bound of the bytes that the job takes as it was submitted, before a leader plans it.
+func (j *Job) DecodedBytes() int64 {
+	bytes := int64(jobFootprint + len(j.Spec))
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		bytes += int64(stepFootprint + afterFootprint*cap(step.After))
+		bytes += int64(len(step.Label) + len(step.DataRack) + len(step.Image))
+	}
+	return bytes
+}
--- a/io/bounded/body.go
+++ b/io/bounded/body.go
@@ -14,8 +14,10 @@
 const (
 	// firstBodyBytes is the size of the first buffer of a body whose length is unknown or larger. Most bodies are smaller.
 	firstBodyBytes = 8 << 10
-	// decodedFactor is the memory that a decoded submission uses for each byte of its body, besides the body itself.
-	decodedFactor = 3
+	// servedFactor is the memory for a request that is being served, for each byte of its body and besides the body
+	// itself: the message that relays it to another VM, and the buffers of that connection. It is also enough for a
+	// decoded submission of few steps; ChargeServed charges what others need.
+	servedFactor = 3
 )
 
 // ErrNoRoom reports that a request was refused or its body abandoned because the budget has no room for it.
@@ -60,7 +62,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.member.Key = key
-	c.received = 0
+	c.received, c.served = 0, 0
 	l.budget.Enter(c.member, budget.Body, time.Now())
 	return &bodyReader{conn: c}
 }
@@ -131,7 +133,7 @@
 // complete ends the body and charges the memory of the decoded request. It returns ErrNoRoom if there is no room or if
 // the body was evicted; the request must then not be served.
 func (b *bodyReader) complete(content []byte, err error) ([]byte, error) {
-	if err == nil && !b.charge(decodedFactor*int64(len(content))) {
+	if err == nil && !b.charge(servedFactor*int64(len(content))) {
 		err = errors.WithStack(ErrNoRoom)
 	}
 	l := b.conn.listener
@@ -142,12 +144,39 @@
 	case !served:
 		err = errors.WithStack(ErrNoRoom)
 	case err == nil:
+		b.conn.served = servedFactor * int64(len(content))
 		return content, nil
 	}
 	l.budget.ReleaseAll(b.conn.member)
 	return nil, err
 }
 
+// ChargeServed charges the memory that serving a request takes besides its body, unless as much was charged for it
+// before. It returns false if there is no room, and true for requests that a Listener has not received.
+func ChargeServed(ctx context.Context, size int64) bool {
+	c, _ := ctx.Value(contextKey{}).(*conn)
+	if c == nil {
+		return true
+	}
+	l := c.listener
+	l.mu.Lock()
+	ok := size <= c.served
+	var closing []eviction
+	if !ok {
+		var evicted []*budget.Connection
+		if evicted, ok = l.budget.ChargeGrowth(c.member, size-c.served, time.Now()); ok {
+			c.served = size
+		}
+		closing = l.take(evicted)
+	}
+	l.mu.Unlock()
+	l.end(closing)
+	if !ok {
+		l.refused(NoMemory)
+	}
+	return ok
+}
+
 // Closing reports whether the connection of a request should be closed after the response, because so many are open.
 func Closing(ctx context.Context) bool {
 	c, _ := ctx.Value(contextKey{}).(*conn)
--- a/io/bounded/listener.go
+++ b/io/bounded/listener.go
@@ -206,6 +206,8 @@
 	// received is the number of bytes of a body that arrived since the last report to the budget. Only one goroutine
 	// reads at a time.
 	received int
+	// served is the charge for serving the current request, besides its body. It is guarded by the listener's mu.
+	served int64
 }
 
 // enter begins a phase of the connection's request. The charges of the previous request end with the phase Idle.
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -76,6 +76,8 @@
 	valueLimit int
 	metrics    *Metrics
 	log        hclog.Logger
+	// coding has a place for each submission that is being decoded or encoded.
+	coding chan struct{}
 	// lastRelayed is the time at which another VM last answered a request that this VM relayed; nil if none has.
 	lastRelayed atomic.Pointer[time.Time]
 }
@@ -88,6 +90,7 @@
 ) *Intake {
 	return &Intake{
 		store: s, codec: codec, watcher: watcher, site: site, valueLimit: valueLimit, metrics: metrics, log: log,
+		coding: make(chan struct{}, codingPlaces),
 	}
 }
 
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,14 +15,9 @@
 // submit validates and stores a job. The transaction succeeds only if the configuration that the request was checked
 // against is still the newest.
 func (i *Intake) submit(ctx context.Context, c *call) answer.Answer {
-	job, err := i.codec.DecodeJob(c.Body)
+	job, err := i.decode(ctx, c)
 	if err != nil {
-		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
-	}
-	job.ID, job.ClientAccount, job.Queue, job.Accepted = c.id, c.account, c.queue.Name, time.Now()
-	job.AcceptedBy = c.queue
-	if err := job.Validate(); err != nil {
-		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
+		return i.answerCodingError(err)
 	}
 	if err := job.CheckFit(c.queue.Service, i.site.Sizes()); err != nil {
 		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
@@ -32,9 +25,9 @@
 	if err := job.CheckLimit(c.snapshot.Policy.Limit(c.account)); err != nil {
 		return i.rejectOverLimit(ctx, c, job, err)
 	}
-	value, err := json.Marshal(job)
+	value, err := i.encode(ctx, job)
 	if err != nil {
-		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
+		return i.answerCodingError(err)
 	}
 	if i.valueLimit > 0 && len(value) > i.valueLimit {
 		return answer.Answer{Kind: answer.TooLarge, Reason: "the job is larger than the store can hold"}
