A connection whose headers have all been read does not count as stalled

Cause: bytes of headers were no progress. A connection that was silent for a second and then sent a whole request could be closed for another one between the read and the start of its handler; the request was then served and its response lost. On a VM whose processor time is limited this gap is up to a tenth of a second. Change: headers that end with a line are progress. The time limit for headers (3 s) stays as it is.

--- a/io/bounded/listener.go
+++ b/io/bounded/listener.go
@@ -263,7 +263,9 @@
 		}
 	case budget.Idle, budget.Header:
 		now := time.Now()
-		if phase == budget.Idle {
+		// A request may be complete after the end of a line. Its connection must not count as stalled, and be closed,
+		// before the server begins to serve it.
+		if phase == budget.Idle || p[n-1] == '\n' {
 			l.budget.Enter(c.member, budget.Header, now)
 		}
 		charge := int64(headerFactor*n + lineBytes*bytes.Count(p[:n], []byte{'\n'}))
