--- a/core/planner/overlimit.go
+++ b/core/planner/overlimit.go
@@ -9,8 +9,8 @@
 	"auburnstack/core/resources"
 )
 
-// JobOverLimit describes a job that waits because a task or gang of it needs more than the limit of its account. The limit
-// was lowered after the job was accepted.
+// JobOverLimit describes a job that waits because a task or gang of it needs more than the limit of its account. The
+// limit was lowered after the job was accepted.
 type JobOverLimit struct {
 	Job     graph.ID
 	Account account.Name
