--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,16 @@
 
 test: lint unit known-red
 
+# Tests of memory and connections start processes and measure them, so they run one at a time and after all others.
+PROCESS_TESTS := overload listeners
+empty :=
+space := $(empty) $(empty)
+
 unit:
-	@for module in $(MODULES); do echo "== $$module"; (cd $$module && go test ./...) || exit 1; done
+	@for module in $(MODULES); do echo "== $$module"; \
+		(cd $$module && go test $$(go list ./... | grep -vE '/platform/($(subst $(space),|,$(PROCESS_TESTS)))$$')) || exit 1; done
+	@echo "== platform, process tests"
+	@cd platform && go test -p 1 $(addprefix ./,$(PROCESS_TESTS))
 
 lint: $(LINTER)
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "run make fmt"; exit 1; }
--- a/io/bounded/listener.go
+++ b/io/bounded/listener.go
@@ -206,6 +206,8 @@
 	// received is the number of bytes of a body that arrived since the last report to the budget. Only one goroutine
 	// reads at a time.
 	received int
+	// served is the charge for serving the current request, besides its body. It is guarded by the listener's mu.
+	served int64
 }
 
 // enter begins a phase of the connection's request. The charges of the previous request end with the phase Idle.
@@ -261,7 +263,9 @@
 		}
 	case budget.Idle, budget.Header:
 		now := time.Now()
-		if phase == budget.Idle {
+		// A request may be complete after the end of a line. Its connection must not count as stalled, and be closed,
+		// before the server begins to serve it.
+		if phase == budget.Idle || p[n-1] == '\n' {
 			l.budget.Enter(c.member, budget.Header, now)
 		}
 		charge := int64(headerFactor*n + lineBytes*bytes.Count(p[:n], []byte{'\n'}))
--- a/standin/memworker/speed.go
+++ b/standin/memworker/speed.go
@@ -42,5 +42,5 @@
 	if r.workTimer == nil || w.hung {
 		return 0
 	}
-	return int(min(time.Since(r.startedAt)*maxPercent/w.ownWork(r), maxPercent))
+	return int(min(time.Since(r.startedAt)*maxPercent/max(w.ownWork(r), 1), maxPercent))
 }
