Messages about rejected texts don't differ between processes

Cause: the decoder's library words its errors with "cannot" or "unable to", chosen at random in each process, and the message reaches callers and logs. Change: rejected messages always say "cannot".

--- a/io/decoding/limits.go
+++ b/io/decoding/limits.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
@@ -55,8 +56,10 @@
 	return nil
 }
 
-// rejected returns ErrRejected with the beginning of a message.
+// rejected returns ErrRejected with the beginning of a message. The decoder's messages say "cannot" or "unable to" at
+// random, which differs between processes.
 func rejected(message string) error {
+	message = strings.Replace(message, "json: unable to ", "json: cannot ", 1)
 	if len(message) > maxMessage {
 		message = message[:maxMessage]
 	}
