--- a/io/coordinator/flush.go
+++ b/io/coordinator/flush.go
@@ -286,7 +286,7 @@
 	return append(keys, JobKey(job.ID))
 }
 
-// removeKeys removes keys in the given order, in as many transactions as that needs. It reports whether all are removed.
+// removeKeys removes keys in the given order, in as many transactions as that needs. It reports whether it removed all.
 func (t *term) removeKeys(ctx context.Context, keys []string) bool {
 	for batch := range slices.Chunk(keys, store.MaxEntries-1) {
 		if err := t.remove(ctx, []store.Condition{t.role.Condition()}, batch); err != nil {
