Date the proofs of the configuration by when they were asked for, and log them

A mirror now tells its listener at which reading of the clock the store still had the state that an answer shows. Successful reads by an unproven configuration are logged and counted, adoptions have their source and age, failed and restored watches are logged once each. No decision uses any of this yet. Tests of io/mirror, policywatch, rosterwatch, relay, intake, coordinator and site pass; their calls got the new parameter.

--- a/io/coordinator/inbox.go
+++ b/io/coordinator/inbox.go
@@ -30,12 +30,12 @@
 }
 
 // Replaced implements mirror.Listener.
-func (i *inbox) Replaced(items []store.Item, _ store.Revision) {
+func (i *inbox) Replaced(items []store.Item, _ store.Revision, _ time.Duration) {
 	i.report(items)
 }
 
 // Changed implements mirror.Listener.
-func (i *inbox) Changed(events []store.Event, _ store.Revision) {
+func (i *inbox) Changed(events []store.Event, _ store.Revision, _ time.Duration) {
 	var items []store.Item
 	for _, e := range events {
 		if !e.Deleted {
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -137,18 +137,23 @@
 	return a
 }
 
-// logAnswer logs the answer to a submission or cancellation, and any failure. Successful reads are not logged.
+// logAnswer logs the answer to a submission or cancellation, and any failure. It logs successful reads only if the
+// configuration was not proven to be the newest within maxPolicyAge.
 func (i *Intake) logAnswer(c *call, a answer.Answer, elapsed time.Duration) {
-	if a.Kind == answer.State || a.Kind == answer.Pending {
+	shown := a.Kind == answer.State || a.Kind == answer.Pending
+	age := i.watcher.Age(c.snapshot)
+	if age > maxPolicyAge {
+		i.metrics.recordUnconfirmed(c.Method, a.Kind)
+	} else if shown {
 		return
 	}
 	log := i.log.Info
-	if a.Kind != answer.Done {
+	if a.Kind != answer.Done && !shown {
 		log = i.log.Warn
 	}
 	log("answered", "method", c.Method, "job", c.id, "queue", c.queue.Name, "answer", a.Kind.String(), "reason", a.Reason,
 		"took", elapsed.String(), "relayed", c.relayed, "policy", c.snapshot.Revision,
-		"policyAge", time.Since(c.snapshot.ConfirmedAt).String(), "uncertain", c.uncertain)
+		"policyAge", age.String(), "arrivedBefore", time.Since(c.snapshot.ConfirmedAt).String(), "uncertain", c.uncertain)
 }
 
 // handle checks a request against the current configuration and carries it out. It relays the request if the
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -152,8 +152,10 @@
 	v := &vm{service: memstore.New(1), deadline: 2800 * time.Millisecond}
 	v.service.Put("op/config", []byte("{}"))
 	v.client = v.service.Client()
+	started := time.Now()
+	clock := func() time.Duration { return time.Since(started) }
 	monitor := store.NewMonitor(v.client)
-	v.watcher = policywatch.New(monitor, c, hclog.NewNullLogger(), func(*policywatch.Snapshot, bool) {})
+	v.watcher = policywatch.New(monitor, c, clock, hclog.NewNullLogger(), func(*policywatch.Snapshot, policywatch.Source) {})
 	t.Cleanup(v.watcher.Close)
 	time.Sleep(time.Second)
 	v.intake = intake.New(monitor, c, v.watcher, site, valueLimit,
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -119,6 +120,7 @@
 	ctx context.Context, c *call, t store.Transaction, resolveConflict func(*store.ConflictError) (answer.Answer, bool),
 ) answer.Answer {
 	for {
+		asked := i.watcher.Now()
 		_, err := i.tryCommit(ctx, t)
 		if err == nil {
 			c.uncertain = false
@@ -131,7 +133,7 @@
 				c.uncertain = false
 				return a
 			}
-			return i.retryWithNewPolicy(ctx, c, conflict)
+			return i.retryWithNewPolicy(ctx, c, conflict, asked)
 		case errors.Is(err, store.ErrInvalid):
 			return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
 		case errors.Is(err, store.ErrRefused) && !c.uncertain:
@@ -155,9 +157,12 @@
 	return i.store.Commit(ctx, t)
 }
 
-// retryWithNewPolicy adopts the configuration that a conflict has returned, and handles the request again with it.
-func (i *Intake) retryWithNewPolicy(ctx context.Context, c *call, conflict *store.ConflictError) answer.Answer {
-	i.watcher.AdoptItem(conflict.Item(i.watcher.Key()))
+// retryWithNewPolicy adopts the configuration that a conflict has returned, and handles the request again with it. The
+// transaction was sent at the reading asked of the watcher's clock.
+func (i *Intake) retryWithNewPolicy(
+	ctx context.Context, c *call, conflict *store.ConflictError, asked time.Duration,
+) answer.Answer {
+	i.watcher.AdoptItem(conflict.Item(i.watcher.Key()), asked)
 	if i.watcher.Current().Revision == c.snapshot.Revision {
 		return i.refusal("the configuration has changed")
 	}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"auburnstack/io/boottime"
 	"auburnstack/io/store"
 	"auburnstack/io/wait"
 )
@@ -16,13 +17,15 @@
 // retryPause is the pause after a failed call.
 const retryPause = 150 * time.Millisecond
 
-// Listener receives the items and their changes. All its methods are called by the same goroutine.
+// Listener receives the items and their changes. All its methods are called by the same goroutine. The parameter seen is
+// a reading of Options.Clock at which the store still had the state that the listener now knows. An answer shows the
+// state at the time it was asked for; when it arrives, the state may be another.
 type Listener interface {
 	// Replaced receives all items under the prefix, read at a revision. They replace all items received before.
-	Replaced(items []store.Item, at store.Revision)
+	Replaced(items []store.Item, at store.Revision, seen time.Duration)
 	// Changed receives the changes since the previous call of Replaced or Changed. In the first call these are the
 	// changes since Options.From. If events is empty, nothing has changed up to the revision.
-	Changed(events []store.Event, at store.Revision)
+	Changed(events []store.Event, at store.Revision, seen time.Duration)
 }
 
 // Options configure a Mirror.
@@ -40,6 +43,8 @@
 	// means Timeout. A store can leave watches unanswered for seconds and still answer reads. The time of two reads of
 	// all items is added, since the answer to a watch takes as long on a slow link.
 	Margin time.Duration
+	// Clock dates the answers of the store. If it is nil, it is boottime.Now.
+	Clock boottime.Clock
 }
 
 // Mirror watches the items under one key prefix of the store.
@@ -50,12 +55,19 @@
 	listener Listener
 	// lastRead is the time that the last read of all items took. Only the goroutine of run uses it.
 	lastRead time.Duration
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// failures is the number of calls that have failed since the last answer, and failedSince the time of the first of
+	// them. Only the goroutine of run uses them.
+	failures    int
+	failedSince time.Duration
+	cancel      context.CancelFunc
+	done        chan struct{}
 }
 
 // New starts a Mirror that reports the items and their changes to the listener.
 func New(s store.Store, options Options, log hclog.Logger, listener Listener) *Mirror {
+	if options.Clock == nil {
+		options.Clock = boottime.Now
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mirror{store: s, options: options, log: log, listener: listener, cancel: cancel, done: make(chan struct{})}
 	go m.run(ctx)
@@ -73,26 +85,47 @@
 	for ctx.Err() == nil {
 		err := m.follow(ctx)
 		if err != nil && ctx.Err() == nil {
-			m.log.Debug("watching prefix failed", "prefix", m.options.Prefix, "error", err.Error())
+			m.recordFailure(err)
 			wait.For(ctx, retryPause)
 		}
 	}
 }
 
+// recordFailure counts a failed call, and logs it unless the call before has failed, too.
+func (m *Mirror) recordFailure(err error) {
+	if m.failures == 0 {
+		m.failedSince = m.options.Clock()
+		m.log.Warn("watch failed", "prefix", m.options.Prefix, "error", err.Error())
+	}
+	m.failures++
+}
+
+// recordAnswer logs the first answer after failed calls.
+func (m *Mirror) recordAnswer() {
+	if m.failures > 0 {
+		m.log.Info("watch restored", "prefix", m.options.Prefix, "failures", m.failures,
+			"after", (m.options.Clock() - m.failedSince).String())
+		m.failures = 0
+	}
+}
+
 // follow reads all items, unless the listener already knows them, and then watches until a call fails or the store no
 // longer has the history that the watch needs.
 func (m *Mirror) follow(ctx context.Context) error {
 	at := m.options.From
 	m.options.From = 0
 	if at == 0 {
+		asked := m.options.Clock()
 		page, err := m.read(ctx)
 		if err != nil {
 			return err
 		}
-		m.listener.Replaced(page.Items, page.Revision)
+		m.recordAnswer()
+		m.listener.Replaced(page.Items, page.Revision, asked)
 		at = page.Revision
 	}
 	for {
+		asked := m.options.Clock()
 		changes, err := m.watch(ctx, at)
 		if store.HistoryLost(err) {
 			return nil
@@ -100,14 +133,27 @@
 		if err != nil {
 			return err
 		}
+		m.recordAnswer()
+		seen := m.seenAt(asked, at, &changes)
 		at = changes.Revision
-		m.listener.Changed(changes.Events, at)
+		m.listener.Changed(changes.Events, at, seen)
 		if m.options.BatchDelay > 0 {
 			wait.For(ctx, m.options.BatchDelay)
 		}
 	}
 }
 
+// seenAt returns the reading of the clock at which the store still had the state that an answer to a watch shows. The
+// watch was asked for at the reading asked, for the changes after a revision.
+func (m *Mirror) seenAt(asked time.Duration, after store.Revision, changes *store.Changes) time.Duration {
+	waited := m.options.Clock()-asked >= m.options.Wait
+	if len(changes.Events) == 0 && changes.Revision > after && waited {
+		// The store has waited for a change that long.
+		return asked + m.options.Wait
+	}
+	return asked
+}
+
 func (m *Mirror) read(ctx context.Context) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.options.Timeout)
 	defer cancel()
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -27,7 +27,7 @@
 }
 
 // Replaced implements Listener.
-func (r *recorder) Replaced(items []store.Item, _ store.Revision) {
+func (r *recorder) Replaced(items []store.Item, _ store.Revision, _ time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reads++
@@ -37,7 +37,7 @@
 }
 
 // Changed implements Listener.
-func (r *recorder) Changed(events []store.Event, _ store.Revision) {
+func (r *recorder) Changed(events []store.Event, _ store.Revision, _ time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range events {
--- a/io/policywatch/missed_test.go
+++ b/io/policywatch/missed_test.go
@@ -8,15 +8,16 @@
 
 	"auburnstack/core/domain"
 	"auburnstack/core/policy"
+	"auburnstack/io/boottime"
 	"auburnstack/io/store"
 	"auburnstack/standin/memstore"
 )
 
 // newStrictWatcher returns a watcher whose watch of the store has ended and that has read the configuration "xy".
 func newStrictWatcher() *Watcher {
-	w := New(memstore.New(1).Client(), strictCodec{}, hclog.NewNullLogger(), func(*Snapshot, bool) {})
+	w := New(memstore.New(1).Client(), strictCodec{}, boottime.Now, hclog.NewNullLogger(), func(*Snapshot, Source) {})
 	w.Close()
-	w.Replaced([]store.Item{{Key: "op/config", Revision: 1, Value: []byte("xy")}}, 1)
+	w.Replaced([]store.Item{{Key: "op/config", Revision: 1, Value: []byte("xy")}}, 1, 0)
 	return w
 }
 
@@ -27,7 +28,7 @@
 	w.Changed([]store.Event{
 		{Item: store.Item{Key: "op/config", Revision: 5, Value: []byte("xyz")}},
 		{Item: store.Item{Key: "op/config", Revision: 7, Value: []byte("invalid")}},
-	}, 7)
+	}, 7, 0)
 	qt.Check(t, w.Current().Revision, qt.Equals, store.Revision(7))
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(3))
 }
@@ -38,14 +39,14 @@
 func TestMissedConfiguration(t *testing.T) {
 	invalid := store.Item{Key: "op/config", Revision: 7, Value: []byte("invalid")}
 	seen := newStrictWatcher()
-	seen.Changed([]store.Event{{Item: store.Item{Key: "op/config", Revision: 5, Value: []byte("xyz")}}}, 5)
-	seen.Changed([]store.Event{{Item: invalid}}, 7)
+	seen.Changed([]store.Event{{Item: store.Item{Key: "op/config", Revision: 5, Value: []byte("xyz")}}}, 5, 0)
+	seen.Changed([]store.Event{{Item: invalid}}, 7, 0)
 
 	missed := newStrictWatcher()
-	missed.Replaced([]store.Item{invalid}, 9)
+	missed.Replaced([]store.Item{invalid}, 9, 0)
 	qt.Check(t, missed.Current().Policy.Version, qt.Equals, policy.Version(2))
 	qt.Check(t, missed.Current().Revision, qt.Equals, store.Revision(7))
-	missed.Changed([]store.Event{{Item: store.Item{Key: "op/out", Revision: 11}}}, 11)
+	missed.Changed([]store.Event{{Item: store.Item{Key: "op/out", Revision: 11}}}, 11, 0)
 	qt.Check(t, missed.Current().Policy.Out, qt.DeepEquals, []domain.Name{"op/out"})
 
 	seen.Offer(missed.Current())
@@ -53,12 +54,12 @@
 	missed.Offer(seen.Current())
 	qt.Check(t, missed.Current().Policy.Version, qt.Equals, policy.Version(3))
 
-	missed.Changed([]store.Event{{Item: store.Item{Key: "op/out2", Revision: 12}}}, 12)
+	missed.Changed([]store.Event{{Item: store.Item{Key: "op/out2", Revision: 12}}}, 12, 0)
 	qt.Check(t, missed.Current().Policy.Version, qt.Equals, policy.Version(3))
 	qt.Check(t, missed.Current().Policy.Out, qt.HasLen, 2)
-	missed.Replaced([]store.Item{invalid}, 15)
+	missed.Replaced([]store.Item{invalid}, 15, 0)
 	qt.Check(t, missed.Current().Policy.Version, qt.Equals, policy.Version(3))
 
-	missed.Changed([]store.Event{{Item: store.Item{Key: "op/config", Revision: 20, Value: []byte("vwxyz")}}}, 20)
+	missed.Changed([]store.Event{{Item: store.Item{Key: "op/config", Revision: 20, Value: []byte("vwxyz")}}}, 20, 0)
 	qt.Check(t, missed.Current().Policy.Version, qt.Equals, policy.Version(5))
 }
--- a/io/policywatch/rejected_test.go
+++ b/io/policywatch/rejected_test.go
@@ -9,6 +9,7 @@
 
 	"auburnstack/core/domain"
 	"auburnstack/core/policy"
+	"auburnstack/io/boottime"
 	"auburnstack/io/store"
 	"auburnstack/standin/memstore"
 )
@@ -34,36 +35,36 @@
 // TestRejectedConfiguration guards against VMs that can't confirm the configuration in force, and so refuse all
 // submissions, because the newest one is invalid, and against evacuations that do not apply until it is corrected.
 func TestRejectedConfiguration(t *testing.T) {
-	w := New(memstore.New(1).Client(), strictCodec{}, hclog.NewNullLogger(), func(*Snapshot, bool) {})
+	w := New(memstore.New(1).Client(), strictCodec{}, boottime.Now, hclog.NewNullLogger(), func(*Snapshot, Source) {})
 	w.Close()
-	w.Replaced([]store.Item{{Key: "op/config", Revision: 1, Value: []byte("xy")}}, 1)
+	w.Replaced([]store.Item{{Key: "op/config", Revision: 1, Value: []byte("xy")}}, 1, 0)
 	invalid := store.Item{Key: "op/config", Revision: 5, Value: []byte("invalid")}
-	w.Changed([]store.Event{{Item: invalid}}, 5)
+	w.Changed([]store.Event{{Item: invalid}}, 5, 0)
 	qt.Check(t, w.Current().Revision, qt.Equals, store.Revision(5))
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(2))
-	w.Changed([]store.Event{{Item: store.Item{Key: "op/out", Revision: 6}}}, 6)
+	w.Changed([]store.Event{{Item: store.Item{Key: "op/out", Revision: 6}}}, 6, 0)
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(2))
 	qt.Check(t, w.Current().Policy.Out, qt.DeepEquals, []domain.Name{"op/out"})
 	confirmed := w.Current().ConfirmedAt
-	w.Changed(nil, 6)
+	w.Changed(nil, 6, 0)
 	qt.Check(t, w.Current().ConfirmedAt.After(confirmed), qt.IsTrue)
 
-	w.Changed([]store.Event{{Item: store.Item{Key: "op/config", Revision: 7, Value: []byte("xyz")}}}, 7)
+	w.Changed([]store.Event{{Item: store.Item{Key: "op/config", Revision: 7, Value: []byte("xyz")}}}, 7, 0)
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(3))
 }
 
 // TestRejectedConfigurationOfAnotherCall is the same for a configuration that another call than the watch has returned,
 // and for a VM that has got the earlier configuration from another VM.
 func TestRejectedConfigurationOfAnotherCall(t *testing.T) {
-	w := New(memstore.New(1).Client(), strictCodec{}, hclog.NewNullLogger(), func(*Snapshot, bool) {})
+	w := New(memstore.New(1).Client(), strictCodec{}, boottime.Now, hclog.NewNullLogger(), func(*Snapshot, Source) {})
 	w.Close()
 	invalid := store.Item{Key: "op/config", Revision: 5, Value: []byte("invalid")}
-	w.AdoptItem(invalid)
+	w.AdoptItem(invalid, 0)
 	qt.Check(t, w.Current().Policy, qt.IsNil, qt.Commentf("no earlier configuration is known"))
 	w.Offer(&Snapshot{Policy: &policy.Policy{Version: 2}, Revision: 1, ChangedAt: 1})
-	w.AdoptItem(invalid)
+	w.AdoptItem(invalid, 0)
 	qt.Check(t, w.Current().Revision, qt.Equals, store.Revision(5))
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(2))
-	w.Replaced([]store.Item{invalid}, 9)
+	w.Replaced([]store.Item{invalid}, 9, 0)
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(2))
 }
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"auburnstack/core/policy"
+	"auburnstack/io/boottime"
 	"auburnstack/io/mirror"
 	"auburnstack/io/store"
 )
@@ -24,6 +26,26 @@
 	watchWait = 800 * time.Millisecond
 	// callTimeout is the timeout of a call to the store, in addition to the time that a watch waits.
 	callTimeout = 500 * time.Millisecond
+	// loggedGap is the time without a proof that the configuration is the newest from which on the next one is logged.
+	loggedGap = 2 * time.Second
+)
+
+// Never is the value of Snapshot.CurrentAt as long as nothing proves that the snapshot is the newest.
+const Never time.Duration = math.MinInt64 / 2
+
+// Source tells from where a VM has a configuration.
+type Source string
+
+// The sources.
+const (
+	// Read is a read of all operators' keys in the store.
+	Read Source = "read"
+	// Watch is a watch of these keys.
+	Watch Source = "watch"
+	// Conflict is the store's answer to a transaction that required an older configuration.
+	Conflict Source = "conflict"
+	// Peer is another VM.
+	Peer Source = "peer"
 )
 
 // Codec decodes the configuration.
@@ -47,6 +69,9 @@
 	ChangedAt store.Revision
 	// ConfirmedAt is the last time at which the snapshot was confirmed to be the newest.
 	ConfirmedAt time.Time
+	// CurrentAt is the latest reading of the VM's clock at which the snapshot is proven to have been the newest in the
+	// store, or Never. It is when the proof was asked for, not when it arrived.
+	CurrentAt time.Duration
 }
 
 // Newer reports whether s has a higher Revision than other or, if the two are equal, a higher ChangedAt.
@@ -60,9 +85,10 @@
 // Watcher holds the newest known configuration and keeps it up to date.
 type Watcher struct {
 	codec Codec
+	clock boottime.Clock
 	log   hclog.Logger
-	// onAdopted is called after a configuration was adopted; fromStore is false if another VM has sent it.
-	onAdopted func(snapshot *Snapshot, fromStore bool)
+	// onAdopted is called after a configuration was adopted.
+	onAdopted func(snapshot *Snapshot, source Source)
 	current   atomic.Pointer[Snapshot]
 
 	// mu serializes the updates of current.
@@ -78,11 +104,14 @@
 	gap bool
 }
 
-// New starts to watch the configuration. onAdopted is called after each adoption of a newer configuration.
-func New(s store.Store, codec Codec, log hclog.Logger, onAdopted func(snapshot *Snapshot, fromStore bool)) *Watcher {
-	w := &Watcher{codec: codec, log: log, onAdopted: onAdopted}
-	w.current.Store(&Snapshot{})
-	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout}
+// New starts to watch the configuration. onAdopted is called after each adoption of a newer configuration. The clock must
+// include the time for which the machine was suspended.
+func New(
+	s store.Store, codec Codec, clock boottime.Clock, log hclog.Logger, onAdopted func(snapshot *Snapshot, source Source),
+) *Watcher {
+	w := &Watcher{codec: codec, clock: clock, log: log, onAdopted: onAdopted}
+	w.current.Store(&Snapshot{CurrentAt: Never})
+	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout, Clock: clock}
 	w.mirror = mirror.New(s, options, log, w)
 	return w
 }
@@ -102,22 +131,32 @@
 	return w.current.Load()
 }
 
+// Now returns a reading of the watcher's clock.
+func (w *Watcher) Now() time.Duration {
+	return w.clock()
+}
+
+// Age returns the time since a snapshot of this watcher was last proven to be the newest.
+func (w *Watcher) Age(snapshot *Snapshot) time.Duration {
+	return w.clock() - snapshot.CurrentAt
+}
+
 // Replaced implements mirror.Listener. It replaces all items and adopts their configuration if it is newer.
-func (w *Watcher) Replaced(items []store.Item, at store.Revision) {
+func (w *Watcher) Replaced(items []store.Item, at store.Revision, seen time.Duration) {
 	before := w.items[w.codec.Key()]
 	w.items = map[string]store.Item{}
 	for _, item := range items {
 		w.items[item.Key] = item
 	}
 	w.gap = w.gap || w.items[w.codec.Key()].Revision != before.Revision
-	w.publish(at)
+	w.publish(at, seen, Read)
 }
 
 // Changed implements mirror.Listener. It applies the events to the items and adopts the resulting configuration if it
 // is newer. Without events, it confirms the current configuration.
-func (w *Watcher) Changed(events []store.Event, _ store.Revision) {
+func (w *Watcher) Changed(events []store.Event, _ store.Revision, seen time.Duration) {
 	if len(events) == 0 {
-		w.confirm()
+		w.confirm(seen)
 		return
 	}
 	var changedAt store.Revision
@@ -131,7 +170,7 @@
 		}
 	}
 	// The store's revision in the answer also counts other keys, and differs from one VM to the next.
-	w.publish(changedAt)
+	w.publish(changedAt, seen, Watch)
 }
 
 // keepValid keeps a changed item if it is a valid configuration. A later event of the same call may replace the item.
@@ -145,8 +184,8 @@
 }
 
 // publish decodes the mirrored items, which hold the operators' keys as of the store revision at, and adopts the
-// resulting configuration if it is newer.
-func (w *Watcher) publish(at store.Revision) {
+// resulting configuration if it is newer. The store had these items at the reading seen of the clock.
+func (w *Watcher) publish(at store.Revision, seen time.Duration, source Source) {
 	item, found := w.items[w.codec.Key()]
 	if !found {
 		return
@@ -155,29 +194,31 @@
 	if decoded == nil {
 		return
 	}
-	next := &Snapshot{Policy: decoded, Revision: item.Revision, ChangedAt: at, ConfirmedAt: time.Now()}
+	next := &Snapshot{
+		Policy: decoded, Revision: item.Revision, ChangedAt: at, ConfirmedAt: time.Now(), CurrentAt: seen,
+	}
 	if w.gap {
-		w.publishAfterGap(next)
+		w.publishAfterGap(next, source)
 		return
 	}
-	w.adopt(next, true)
+	w.adopt(next, source)
 }
 
 // publishAfterGap adopts a snapshot whose configuration is invalid and whose policy may not be the last valid one. If
 // another VM has sent the policy that is in force, only the parts from the operators' other keys are taken over.
-func (w *Watcher) publishAfterGap(next *Snapshot) {
+func (w *Watcher) publishAfterGap(next *Snapshot, source Source) {
 	current := w.current.Load()
 	if current.Revision == next.Revision && current.Policy != nil {
 		merged := *current.Policy
 		merged.Out, merged.Waves = next.Policy.Out, next.Policy.Waves
 		next.Policy = &merged
 		if !current.uncertain() {
-			w.adopt(next, true)
+			w.adopt(next, source)
 			return
 		}
 	}
 	next.ChangedAt = min(next.ChangedAt, next.Revision-1)
-	w.replace(next)
+	w.replace(next, source)
 }
 
 // uncertain reports whether the policy of a snapshot may be older than its revision.
@@ -212,9 +253,10 @@
 	}
 }
 
-// AdoptItem adopts a configuration that a call other than the watch has returned, if it is newer. The parts that the
-// operators write under other keys, Out and Waves, are kept from the current configuration.
-func (w *Watcher) AdoptItem(item store.Item) {
+// AdoptItem adopts a configuration that a call other than the watch has returned, if it is newer. The store had the item
+// at the reading seen of the clock. The parts that the operators write under other keys, Out and Waves, are kept from the
+// current configuration.
+func (w *Watcher) AdoptItem(item store.Item, seen time.Duration) {
 	current := w.current.Load()
 	if item.Key != w.codec.Key() || item.Revision <= current.Revision {
 		return
@@ -229,18 +271,18 @@
 		decoded.Out, decoded.Waves = current.Policy.Out, current.Policy.Waves
 	}
 	w.adopt(&Snapshot{
-		Policy: decoded, Revision: item.Revision, ChangedAt: changedAt, ConfirmedAt: time.Now(),
-	}, true)
+		Policy: decoded, Revision: item.Revision, ChangedAt: changedAt, ConfirmedAt: time.Now(), CurrentAt: seen,
+	}, Conflict)
 }
 
 // Offer adopts a snapshot that another VM has sent, if that snapshot is newer than the current one.
 func (w *Watcher) Offer(snapshot *Snapshot) {
-	w.adopt(snapshot, false)
+	w.adopt(snapshot, Peer)
 }
 
 // adopt replaces the current snapshot if next is newer. If both identify the same configuration, adopt takes over the
 // confirmation time of next if it is later.
-func (w *Watcher) adopt(next *Snapshot, fromStore bool) {
+func (w *Watcher) adopt(next *Snapshot, source Source) {
 	w.mu.Lock()
 	current := w.current.Load()
 	newer := next.Policy != nil && next.Newer(current)
@@ -252,11 +294,11 @@
 		w.ConfirmCurrent(next)
 		return
 	}
-	w.onAdopted(next, fromStore)
+	w.onAdopted(next, source)
 }
 
 // replace replaces the current snapshot unless that one is newer.
-func (w *Watcher) replace(next *Snapshot) {
+func (w *Watcher) replace(next *Snapshot, source Source) {
 	w.mu.Lock()
 	older := w.current.Load().Newer(next)
 	if !older {
@@ -264,7 +306,7 @@
 	}
 	w.mu.Unlock()
 	if !older {
-		w.onAdopted(next, true)
+		w.onAdopted(next, source)
 	}
 }
 
@@ -279,11 +321,13 @@
 	}
 	confirmed := *current
 	confirmed.ConfirmedAt = other.ConfirmedAt
+	confirmed.CurrentAt = max(confirmed.CurrentAt, other.CurrentAt)
 	w.current.Store(&confirmed)
 }
 
-// confirm records that the current configuration is the newest now, if the mirrored items hold that configuration.
-func (w *Watcher) confirm() {
+// confirm records that the current configuration was the newest at the reading seen of the clock, if the mirrored items
+// hold that configuration.
+func (w *Watcher) confirm(seen time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.current.Load()
@@ -291,7 +335,12 @@
 	if !found || item.Revision != current.Revision {
 		return
 	}
+	if gap := seen - current.CurrentAt; gap > loggedGap && current.CurrentAt != Never {
+		w.log.Info("configuration proven again", "revision", current.Revision, "after", gap.String(),
+			"answerTook", (w.clock() - seen).String())
+	}
 	confirmed := *current
 	confirmed.ConfirmedAt = time.Now()
+	confirmed.CurrentAt = max(confirmed.CurrentAt, seen)
 	w.current.Store(&confirmed)
 }
--- a/io/policywatch/watcher_test.go
+++ b/io/policywatch/watcher_test.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"auburnstack/core/policy"
+	"auburnstack/io/boottime"
 	"auburnstack/io/store"
 	"auburnstack/standin/memstore"
 )
@@ -25,7 +26,7 @@
 
 // newStoppedWatcher returns a watcher whose watch of the store has ended. The test calls its listener methods.
 func newStoppedWatcher() *Watcher {
-	w := New(memstore.New(1).Client(), plainCodec{}, hclog.NewNullLogger(), func(*Snapshot, bool) {})
+	w := New(memstore.New(1).Client(), plainCodec{}, boottime.Now, hclog.NewNullLogger(), func(*Snapshot, Source) {})
 	w.Close()
 	return w
 }
@@ -35,8 +36,8 @@
 func TestOtherWritesMakeNothingNewer(t *testing.T) {
 	first := store.Item{Key: "op/config", Revision: 1}
 	early, late := newStoppedWatcher(), newStoppedWatcher()
-	early.Replaced([]store.Item{first}, 1)
-	late.Replaced([]store.Item{first}, 1)
+	early.Replaced([]store.Item{first}, 1, 0)
+	late.Replaced([]store.Item{first}, 1, 0)
 	changes := []store.Event{
 		{Item: store.Item{Key: "op/config", Revision: 11}},
 		{Item: store.Item{Key: "op/out", Revision: 21}},
@@ -44,8 +45,8 @@
 	}
 	for _, event := range changes {
 		before := early.Current()
-		early.Changed([]store.Event{event}, event.Revision)
-		late.Changed([]store.Event{event}, event.Revision+5)
+		early.Changed([]store.Event{event}, event.Revision, 0)
+		late.Changed([]store.Event{event}, event.Revision+5, 0)
 		qt.Check(t, early.Current().Newer(before), qt.IsTrue, qt.Commentf("%+v", event))
 		qt.Check(t, late.Current().Newer(early.Current()), qt.IsFalse, qt.Commentf("%+v", event))
 		qt.Check(t, early.Current().Newer(late.Current()), qt.IsFalse, qt.Commentf("%+v", event))
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -135,6 +135,7 @@
 func decodePolicy(message *relaypb.PolicySnapshot, now time.Time) (policywatch.Snapshot, error) {
 	snapshot := policywatch.Snapshot{
 		Revision: store.Revision(message.GetRevision()), ChangedAt: store.Revision(message.GetChangedAt()),
+		CurrentAt:   policywatch.Never,
 		ConfirmedAt: now.Add(-time.Duration(message.GetAgeMillis()) * time.Millisecond),
 	}
 	if len(message.GetPolicy()) == 0 {
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -82,13 +82,13 @@
 }
 
 // Replaced implements mirror.Listener. It replaces all registrations and passes the valid ones to onChange.
-func (w *Watcher) Replaced(items []store.Item, _ store.Revision) {
+func (w *Watcher) Replaced(items []store.Item, _ store.Revision, _ time.Duration) {
 	now := time.Now()
 	w.publish(now, w.replace(items, now))
 }
 
 // Changed implements mirror.Listener. It applies the events to the registrations and passes all valid ones to onChange.
-func (w *Watcher) Changed(events []store.Event, _ store.Revision) {
+func (w *Watcher) Changed(events []store.Event, _ store.Revision, _ time.Duration) {
 	deleted := map[string]store.Item{}
 	for _, event := range events {
 		delete(w.missing, event.Key)
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -105,12 +105,15 @@
 		Metrics: coordinator.NewMetrics(config.Metrics), Log: config.Log,
 	})
 	ready := make(chan struct{})
-	n.watcher = policywatch.New(n.store, config.Codecs.Policy, config.Log,
-		func(snapshot *policywatch.Snapshot, fromStore bool) {
+	n.watcher = policywatch.New(n.store, config.Codecs.Policy, config.Clock, config.Log,
+		func(snapshot *policywatch.Snapshot, source policywatch.Source) {
 			// The watcher may call this function before New has set all fields of n.
 			<-ready
-			n.policyAdopted(snapshot, fromStore)
+			n.policyAdopted(snapshot, source)
 		})
+	config.Metrics.NewGauge("auburnstack_policy_age_seconds", func() float64 {
+		return n.watcher.Age(n.watcher.Current()).Seconds()
+	})
 	n.intake = intake.New(n.store, config.Codecs.Jobs, n.watcher, n, config.ValueLimit,
 		intake.NewMetrics(config.Metrics), config.Log)
 	n.registrar = newRegistrar(n.store, registration{Member: n.self, JobMemory: config.JobMemory}, config.Log)
@@ -169,9 +172,9 @@
 
 // policyAdopted logs a configuration that was adopted, passes it to the current leadership term and announces it to
 // other VMs.
-func (n *Node) policyAdopted(snapshot *policywatch.Snapshot, fromStore bool) {
+func (n *Node) policyAdopted(snapshot *policywatch.Snapshot, source policywatch.Source) {
 	n.config.Log.Info("configuration adopted", "version", snapshot.Policy.Version, "revision", snapshot.Revision,
-		"fromStore", fromStore, "queues", len(snapshot.Policy.Queues), "out", len(snapshot.Policy.Out))
+		"changedAt", snapshot.ChangedAt, "source", source, "age", n.watcher.Age(snapshot).String(), "queues", len(snapshot.Policy.Queues), "out", len(snapshot.Policy.Out))
 	for _, mistake := range snapshot.Policy.Unread {
 		n.config.Log.Error("invalid part of the configuration skipped",
 			"version", snapshot.Policy.Version, "error", mistake)
