--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -170,9 +170,14 @@
 
 // callWith is like call for the account with the given key.
 func (v *vm) callWith(key, method string, relayed bool) answer.Answer {
+	return v.request(key, method, "/q/"+jobID, relayed)
+}
+
+// request is like callWith for any path.
+func (v *vm) request(key, method, path string, relayed bool) answer.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), v.deadline)
 	defer cancel()
-	return v.intake.Handle(ctx, relay.Request{Method: method, Host: "h", Path: "/q/" + jobID, Key: key}, relayed)
+	return v.intake.Handle(ctx, relay.Request{Method: method, Host: "h", Path: path, Key: key}, relayed)
 }
 
 // TestRejectionAfterLostAnswer checks that a caller is not told that its job was rejected when the answer to the store's
--- /dev/null
+++ b/io/intake/proof_test.go
@@ -0,0 +1,72 @@
+package intake_test
+
+import (
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstack/core/answer"
+	"auburnstack/core/policy"
+	"auburnstack/core/roster"
+	"auburnstack/io/relay"
+	"auburnstack/io/store"
+)
+
+// applyLimit is the time within which a change of the configuration must be in force on the VMs of these tests.
+const applyLimit = 2 * time.Second
+
+// keysCodec decodes a configuration whose value lists the accounts' keys, one letter each, for one queue.
+type keysCodec struct{ codec }
+
+// Decode implements policywatch.Codec.
+func (keysCodec) Decode(items map[string]store.Item) (*policy.Policy, error) {
+	p := &policy.Policy{Queues: []policy.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}}}
+	for _, key := range string(items["op/config"].Value) {
+		p.Accounts = append(p.Accounts, policy.Account{Name: "a", Keys: []policy.Key{policy.Digest(string(key))}})
+	}
+	return p, nil
+}
+
+// siteWithCounts is a site whose leader has just counted the pending jobs.
+type siteWithCounts struct{ siteWithPeers }
+
+// Pending implements intake.Site.
+func (siteWithCounts) Pending() (map[string]int, time.Duration, bool) {
+	return map[string]int{"q": 1}, 0, true
+}
+
+// Sizes implements intake.Site.
+func (siteWithCounts) Sizes() []roster.Size { return nil }
+
+// newProvenVM returns a VM that has just been shown the configuration with the given keys.
+func newProvenVM(t *testing.T, keys string, peers ...relay.Peer) *vm {
+	t.Helper()
+	v := newVMOnWithCodec(t, keysCodec{}, 0, siteWithCounts{siteWithPeers{peers: peers}})
+	v.service.Put("op/config", []byte(keys))
+	time.Sleep(time.Second)
+	return v
+}
+
+// TestReadsNeedProof guards against reads that only an outdated configuration allows: the VM hears of no change of the
+// configuration any more, and a key is withdrawn.
+func TestReadsNeedProof(t *testing.T) {
+	if os.Getenv("RUN_KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	for _, path := range []string{"/q/", "/q/" + jobID} {
+		for _, relayed := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				v := newProvenVM(t, "xy")
+				qt.Assert(t, v.request("x", "POST", "/q/"+jobID, false).Kind, qt.Equals, answer.Done)
+				v.watcher.Close()
+				v.service.Put("op/config", []byte("y"))
+				time.Sleep(applyLimit)
+				a := v.request("x", "GET", path, relayed)
+				qt.Check(t, a.Kind, qt.Equals, answer.Refused, qt.Commentf("%s %v: %s", path, relayed, a.Reason))
+			})
+		}
+	}
+}
