VMs that the store refuses ask others for the configuration

Callers of a VM that the store refuses could get answers by an outdated configuration, or none. Such a VM depended on being told: by the leader, whose list it leaves when the next leader takes over, and by introductions to at most three fixed addresses. With these gone it was alone. Contents were sent along with heartbeats, which were given up after 0.6 s, by up to seven VMs at a time.

A VM whose last proof is older than three quarters of what it may answer by now asks the leader and two VMs drawn at random every 0.3 s which configuration they have and how old their own proof is. It dates the proof by when it asked, so the time that messages take makes nothing newer. Announcements and heartbeats only name a version; a VM with an older one asks the sender for the content, two at a time, for up to 3 s. If only evacuations or waves differ, only these are sent. Heartbeats carry no content any more; what the decoder's test of them checked about contents is now TestLargeConfiguration.

--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -76,6 +76,11 @@
 	return relay.HeartbeatReply{}, nil
 }
 
+// Configuration implements relay.Peer.
+func (p *scriptedPeer) Configuration(context.Context, relay.PolicyRequest) (relay.PolicyReply, error) {
+	return relay.PolicyReply{}, nil
+}
+
 // Ask implements relay.Peer.
 func (p *scriptedPeer) Ask(context.Context, graph.ID) (relay.JobState, error) {
 	return relay.JobState{}, nil
--- a/io/policywatch/rejected_test.go
+++ b/io/policywatch/rejected_test.go
@@ -61,7 +61,7 @@
 	invalid := store.Item{Key: "op/config", Revision: 5, Value: []byte("invalid")}
 	w.AdoptItem(invalid, 0)
 	qt.Check(t, w.Current().Policy, qt.IsNil, qt.Commentf("no earlier configuration is known"))
-	w.Offer(&Snapshot{Policy: &policy.Policy{Version: 2}, Revision: 1, ChangedAt: 1})
+	w.Offer(&Snapshot{Policy: &policy.Policy{Version: 2}, Version: Version{Revision: 1, ChangedAt: 1}})
 	w.AdoptItem(invalid, 0)
 	qt.Check(t, w.Current().Revision, qt.Equals, store.Revision(5))
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(2))
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -68,15 +68,33 @@
 	Decode(items map[string]store.Item) (*policy.Policy, error)
 }
 
+// Version identifies a configuration by its position in the store's history.
+type Version struct {
+	// Revision is the revision of the key that holds the configuration.
+	Revision store.Revision
+	// ChangedAt is the store revision up to which the configuration contains all changes of the keys under the operators'
+	// prefix. It is the revision of the last of them, the same on all VMs, unless all keys were read again since.
+	ChangedAt store.Revision
+}
+
+// Newer reports whether v has a higher Revision than other or, if the two are equal, a higher ChangedAt.
+func (v Version) Newer(other Version) bool {
+	if v.Revision != other.Revision {
+		return v.Revision > other.Revision
+	}
+	return v.ChangedAt > other.ChangedAt
+}
+
+// Uncertain reports whether the policy of a snapshot with this version may be older than its revision.
+func (v Version) Uncertain() bool {
+	return v.ChangedAt < v.Revision
+}
+
 // Snapshot is a configuration, which is the operators' policy, with its position in the store's history.
 type Snapshot struct {
 	// Policy is nil until a configuration is known.
 	Policy *policy.Policy
-	// Revision is the revision of the key that holds the configuration.
-	Revision store.Revision
-	// ChangedAt is the store revision up to which Policy contains all changes of the keys under the operators' prefix. It
-	// is the revision of the last of them, the same on all VMs, unless all keys were read again since.
-	ChangedAt store.Revision
+	Version
 	// ConfirmedAt is the last time at which the snapshot was confirmed to be the newest.
 	ConfirmedAt time.Time
 	// CurrentAt is the latest reading of the VM's clock at which the snapshot is proven to have been the newest in the
@@ -84,14 +102,6 @@
 	CurrentAt time.Duration
 }
 
-// Newer reports whether s has a higher Revision than other or, if the two are equal, a higher ChangedAt.
-func (s *Snapshot) Newer(other *Snapshot) bool {
-	if s.Revision != other.Revision {
-		return s.Revision > other.Revision
-	}
-	return s.ChangedAt > other.ChangedAt
-}
-
 // Watcher holds the newest known configuration and keeps it up to date.
 type Watcher struct {
 	codec Codec
@@ -205,7 +215,7 @@
 		return
 	}
 	next := &Snapshot{
-		Policy: decoded, Revision: item.Revision, ChangedAt: at, ConfirmedAt: time.Now(), CurrentAt: seen,
+		Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: at}, ConfirmedAt: time.Now(), CurrentAt: seen,
 	}
 	if w.gap {
 		w.publishAfterGap(next, source)
@@ -222,7 +232,7 @@
 		merged := *current.Policy
 		merged.Out, merged.Waves = next.Policy.Out, next.Policy.Waves
 		next.Policy = &merged
-		if !current.uncertain() {
+		if !current.Uncertain() {
 			w.adopt(next, source)
 			return
 		}
@@ -231,11 +241,6 @@
 	w.replace(next, source)
 }
 
-// uncertain reports whether the policy of a snapshot may be older than its revision.
-func (s *Snapshot) uncertain() bool {
-	return s.ChangedAt < s.Revision
-}
-
 // decodeItems decodes the mirrored items. If the configuration, which the parameter item holds, is invalid, decodeItems
 // uses the last valid one instead, so that changes of the other keys still apply. It returns nil if there is none.
 func (w *Watcher) decodeItems(item store.Item) *policy.Policy {
@@ -281,7 +286,8 @@
 		decoded.Out, decoded.Waves = current.Policy.Out, current.Policy.Waves
 	}
 	w.adopt(&Snapshot{
-		Policy: decoded, Revision: item.Revision, ChangedAt: changedAt, ConfirmedAt: time.Now(), CurrentAt: seen,
+		Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: changedAt}, ConfirmedAt: time.Now(),
+		CurrentAt: seen,
 	}, Conflict)
 }
 
@@ -295,7 +301,7 @@
 func (w *Watcher) adopt(next *Snapshot, source Source) {
 	w.mu.Lock()
 	current := w.current.Load()
-	newer := next.Policy != nil && next.Newer(current)
+	newer := next.Policy != nil && next.Newer(current.Version)
 	if newer {
 		w.current.Store(next)
 	}
@@ -310,7 +316,7 @@
 // replace replaces the current snapshot unless that one is newer.
 func (w *Watcher) replace(next *Snapshot, source Source) {
 	w.mu.Lock()
-	older := w.current.Load().Newer(next)
+	older := w.current.Load().Newer(next.Version)
 	if !older {
 		w.current.Store(next)
 	}
@@ -326,7 +332,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.current.Load()
-	if other.Newer(current) || current.Newer(other) || !other.ConfirmedAt.After(current.ConfirmedAt) {
+	if other.Version != current.Version || !other.ConfirmedAt.After(current.ConfirmedAt) {
 		return
 	}
 	confirmed := *current
--- a/io/policywatch/watcher_test.go
+++ b/io/policywatch/watcher_test.go
@@ -47,8 +47,8 @@
 		before := early.Current()
 		early.Changed([]store.Event{event}, event.Revision, 0)
 		late.Changed([]store.Event{event}, event.Revision+5, 0)
-		qt.Check(t, early.Current().Newer(before), qt.IsTrue, qt.Commentf("%+v", event))
-		qt.Check(t, late.Current().Newer(early.Current()), qt.IsFalse, qt.Commentf("%+v", event))
-		qt.Check(t, early.Current().Newer(late.Current()), qt.IsFalse, qt.Commentf("%+v", event))
+		qt.Check(t, early.Current().Newer(before.Version), qt.IsTrue, qt.Commentf("%+v", event))
+		qt.Check(t, late.Current().Newer(early.Current().Version), qt.IsFalse, qt.Commentf("%+v", event))
+		qt.Check(t, early.Current().Newer(late.Current().Version), qt.IsFalse, qt.Commentf("%+v", event))
 	}
 }
--- a/io/relay/bounds_test.go
+++ b/io/relay/bounds_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
+	"net/netip"
 	"os"
 	"runtime"
 	"slices"
@@ -24,6 +24,7 @@
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
+	"auburnstack/io/policywatch"
 	"auburnstack/io/relay"
 	"auburnstack/io/relay/relaypb"
 )
@@ -59,6 +60,11 @@
 	return relay.HeartbeatReply{}
 }
 
+// Configuration implements relay.Handler.
+func (*countingHandler) Configuration(relay.PolicyRequest) relay.PolicyReply {
+	return relay.PolicyReply{}
+}
+
 // Handle implements relay.Handler.
 func (*countingHandler) Handle(context.Context, relay.Request) answer.Answer { return answer.Answer{} }
 
@@ -192,29 +198,63 @@
 	}
 }
 
-// TestLargeHeartbeats sends a heartbeat of a site with many VMs, queues and accounts. It guards against bounds that
-// reject the messages of a large site.
+// largeSite is the number of VMs, queues and accounts of a large site.
+const largeSite = 1100
+
+// TestLargeHeartbeats sends a heartbeat of a large site. It guards against bounds that reject its messages.
 func TestLargeHeartbeats(t *testing.T) {
 	e := newExchanger(t)
-	var p policy.Policy
 	message := &relaypb.Heartbeat{
 		Sender: &relaypb.Member{Name: "a", Address: "127.0.0.1:1"}, Pending: map[string]int64{},
 	}
-	for range 1100 {
-		p.Queues = append(p.Queues, policy.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s"})
-		p.Accounts = append(p.Accounts, policy.Account{Name: "a", Keys: []policy.Key{policy.Digest("key")}})
+	for range largeSite {
 		message.Sizes = append(message.Sizes, &relaypb.WorkerSize{Service: "s", Cpu: 1, Workers: 1})
 		message.Members = append(message.Members, &relaypb.Member{Name: "b", Address: "127.0.0.1:2"})
 		message.Pending[strings.Repeat("p", len(message.Pending)%200+1)+string(rune(len(message.Pending)))] = 1
 	}
-	content, err := json.Marshal(p)
-	qt.Assert(t, err, qt.IsNil)
-	message.Policy = &relaypb.PolicySnapshot{Policy: content, Revision: 1}
+	message.Policy = &relaypb.PolicyVersion{Revision: 1}
 	encoded, err := proto.Marshal(message)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, e.checkAllocation(t, encoded), qt.IsTrue)
 }
 
+// policyHandler has a configuration and answers nothing else.
+type policyHandler struct {
+	relay.Handler
+	reply relay.PolicyReply
+}
+
+// Configuration implements relay.Handler.
+func (h policyHandler) Configuration(relay.PolicyRequest) relay.PolicyReply { return h.reply }
+
+// TestLargeConfiguration asks for the configuration of a large site. It guards against bounds that reject it, and checks
+// that the reply arrives as it was sent.
+func TestLargeConfiguration(t *testing.T) {
+	reply := relay.PolicyReply{
+		Policy: &policy.Policy{}, Version: policywatch.Version{Revision: 7, ChangedAt: 9}, Age: time.Second, Proven: true,
+	}
+	for range largeSite {
+		reply.Policy.Queues = append(reply.Policy.Queues, policy.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s"})
+		reply.Policy.Accounts = append(reply.Policy.Accounts,
+			policy.Account{Name: "a", Keys: []policy.Key{policy.Digest("key")}})
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := relay.NewServer(listener, policyHandler{reply: reply}, hclog.NewNullLogger())
+	defer server.Close()
+	pool := relay.NewPool()
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	peer := pool.Peer(netip.MustParseAddrPort(listener.Addr().String()))
+	for range 2 {
+		got, err := peer.Configuration(ctx, relay.PolicyRequest{Content: true})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.DeepEquals, reply)
+	}
+}
+
 // FuzzHeartbeatAllocation checks for any message of another VM what is allocated for it.
 func FuzzHeartbeatAllocation(f *testing.F) {
 	passOverKnownRed(f)
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -16,6 +15,9 @@
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
+	"auburnstack/core/policy"
+	"auburnstack/io/decoding"
+	"auburnstack/io/policywatch"
 	"auburnstack/io/relay/relaypb"
 	"auburnstack/io/tcp"
 )
@@ -101,17 +103,35 @@
 	if c.dialErr != nil {
 		return HeartbeatReply{}, errors.WithMessage(ErrUnanswered, c.dialErr.Error())
 	}
-	message, err := encodeHeartbeat(h, time.Now())
-	if err != nil {
-		return HeartbeatReply{}, err
-	}
-	reply, err := c.rpc.Exchange(ctx, message)
+	reply, err := c.rpc.Exchange(ctx, encodeHeartbeat(h))
 	if err != nil {
 		return HeartbeatReply{}, errors.WithMessage(ErrUnanswered, err.Error())
 	}
 	return decodeHeartbeatReply(reply), nil
 }
 
+// Configuration implements Peer.
+func (c *client) Configuration(ctx context.Context, request PolicyRequest) (PolicyReply, error) {
+	if c.dialErr != nil {
+		return PolicyReply{}, errors.WithMessage(ErrUnanswered, c.dialErr.Error())
+	}
+	message, err := c.rpc.Configuration(ctx, &relaypb.PolicyRequest{
+		Known: encodeVersion(request.Known), Content: request.Content,
+	})
+	if err != nil {
+		return PolicyReply{}, errors.WithMessage(ErrUnanswered, err.Error())
+	}
+	reply := PolicyReply{
+		Version: decodeVersion(message.GetVersion()), Partial: message.GetPartial(), Proven: message.GetProven(),
+		Age: time.Duration(message.GetAgeNanos()),
+	}
+	if len(message.GetPolicy()) == 0 {
+		return reply, nil
+	}
+	reply.Policy = &policy.Policy{}
+	return reply, decoding.Unmarshal(message.GetPolicy(), reply.Policy, decoding.Dense)
+}
+
 // Handle implements Peer.
 func (c *client) Handle(ctx context.Context, r Request) (answer.Answer, error) {
 	if c.dialErr != nil {
@@ -146,29 +166,13 @@
 	return JobState{Leading: reply.GetLeading(), Known: reply.GetKnown(), State: graph.State(reply.GetState())}, nil
 }
 
-func encodePolicy(h Heartbeat, now time.Time) (*relaypb.PolicySnapshot, error) {
-	message := &relaypb.PolicySnapshot{
-		Revision: int64(h.Policy.Revision), ChangedAt: int64(h.Policy.ChangedAt),
-		AgeMillis: now.Sub(h.Policy.ConfirmedAt).Milliseconds(),
-	}
-	if h.Policy.Policy == nil {
-		return message, nil
-	}
-	encoded, err := json.Marshal(h.Policy.Policy)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	message.Policy = encoded
-	return message, nil
+func encodeVersion(v policywatch.Version) *relaypb.PolicyVersion {
+	return &relaypb.PolicyVersion{Revision: int64(v.Revision), ChangedAt: int64(v.ChangedAt)}
 }
 
-func encodeHeartbeat(h Heartbeat, now time.Time) (*relaypb.Heartbeat, error) {
-	snapshot, err := encodePolicy(h, now)
-	if err != nil {
-		return nil, err
-	}
+func encodeHeartbeat(h Heartbeat) *relaypb.Heartbeat {
 	message := &relaypb.Heartbeat{
-		Sender: encodeMember(h.Sender), Fence: int64(h.Fence), Policy: snapshot, Pending: map[string]int64{},
+		Sender: encodeMember(h.Sender), Fence: int64(h.Fence), Policy: encodeVersion(h.Policy), Pending: map[string]int64{},
 		Lease: int64(h.Lease), Resigned: h.Resigned,
 	}
 	if h.JobAllowance.Limited {
@@ -186,7 +190,7 @@
 			Workers: int64(s.Workers),
 		})
 	}
-	return message, nil
+	return message
 }
 
 func encodeMember(m Member) *relaypb.Member {
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
 	"auburnstack/core/jobmemory"
+	"auburnstack/core/policy"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/policywatch"
@@ -29,9 +31,8 @@
 	Sender Member
 	// Fence is the leader's fencing token; 0 when the sender does not lead.
 	Fence store.Revision
-	// Policy is the newest configuration that the sender knows. The content of the configuration is included only if
-	// the sender has already announced the configuration and the receiver's reply still named an older one.
-	Policy policywatch.Snapshot
+	// Policy is the newest configuration that the sender knows. A receiver with an older one asks for it.
+	Policy policywatch.Version
 	// Pending holds, for each queue, the number of jobs of which no task has started.
 	Pending map[string]int
 	// Members lists the VMs of the site, the sender included. The sender omits the list if the list has not changed
@@ -48,16 +49,35 @@
 	Resigned bool
 }
 
-// HeartbeatReply identifies the configuration that the receiver of a heartbeat has, by the same two revisions as
-// policywatch.Snapshot.
+// HeartbeatReply is the reply to a heartbeat.
 type HeartbeatReply struct {
-	Revision  store.Revision
-	ChangedAt store.Revision
+	// Policy is the newest configuration that the receiver of the heartbeat knows.
+	Policy policywatch.Version
 	// Leader is the latest leader that the receiver knows. The address of Leader is invalid if the receiver knows no
 	// leader.
 	Leader Member
 }
 
+// PolicyRequest asks another VM for its configuration.
+type PolicyRequest struct {
+	// Known is the configuration that the sender has.
+	Known policywatch.Version
+	// Content is set if the sender wants the whole configuration, in case its own is older.
+	Content bool
+}
+
+// PolicyReply is the configuration that a VM has.
+type PolicyReply struct {
+	// Policy is the content, if it was wanted and is newer than the known one; otherwise nil.
+	Policy  *policy.Policy
+	Version policywatch.Version
+	// Partial is set if Policy holds only Out and Waves. The rest is the same as in the configuration that is known.
+	Partial bool
+	// Age is the time since the configuration was last proven to be the newest. Proven is set if it ever was.
+	Age    time.Duration
+	Proven bool
+}
+
 // Request is a caller's request, as it is relayed between VMs.
 type Request struct {
 	Method string
@@ -88,6 +108,8 @@
 type Peer interface {
 	// Exchange sends a heartbeat.
 	Exchange(ctx context.Context, heartbeat Heartbeat) (HeartbeatReply, error)
+	// Configuration asks for the configuration.
+	Configuration(ctx context.Context, request PolicyRequest) (PolicyReply, error)
 	// Handle relays a caller's request and returns the VM's answer.
 	Handle(ctx context.Context, request Request) (answer.Answer, error)
 	// Ask asks the VM for the state of a job. Only the leader knows the states of jobs.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/netip"
-	"time"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -18,7 +19,6 @@
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/connections"
-	"auburnstack/io/decoding"
 	"auburnstack/io/policywatch"
 	"auburnstack/io/relay/relaypb"
 	"auburnstack/io/rpcserver"
@@ -29,6 +29,7 @@
 // Peer with the same name.
 type Handler interface {
 	Exchange(heartbeat Heartbeat) HeartbeatReply
+	Configuration(request PolicyRequest) PolicyReply
 	Handle(ctx context.Context, request Request) answer.Answer
 	Ask(ctx context.Context, job graph.ID) JobState
 }
@@ -67,20 +68,59 @@
 type service struct {
 	relaypb.UnimplementedRelayServer
 	handler Handler
+	// encoded is the last whole configuration that was sent.
+	encoded atomic.Pointer[encodedPolicy]
+}
+
+// encodedPolicy is a configuration with its JSON text.
+type encodedPolicy struct {
+	policy *policy.Policy
+	text   []byte
+}
+
+// encode returns the JSON text of a whole configuration. Many VMs may ask for the same one.
+func (s *service) encode(p *policy.Policy) ([]byte, error) {
+	if last := s.encoded.Load(); last != nil && last.policy == p {
+		return last.text, nil
+	}
+	text, err := json.Marshal(p)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	s.encoded.Store(&encodedPolicy{policy: p, text: text})
+	return text, nil
 }
 
 // Exchange implements relaypb.RelayServer.
 func (s *service) Exchange(_ context.Context, message *relaypb.Heartbeat) (*relaypb.HeartbeatReply, error) {
-	h, err := decodeHeartbeat(message, time.Now())
+	h, err := decodeHeartbeat(message)
 	if err != nil {
 		return nil, err
 	}
 	reply := s.handler.Exchange(h)
 	return &relaypb.HeartbeatReply{
-		Revision: int64(reply.Revision), ChangedAt: int64(reply.ChangedAt), Leader: encodeMember(reply.Leader),
+		Revision: int64(reply.Policy.Revision), ChangedAt: int64(reply.Policy.ChangedAt),
+		Leader: encodeMember(reply.Leader),
 	}, nil
 }
 
+// Configuration implements relaypb.RelayServer.
+func (s *service) Configuration(_ context.Context, r *relaypb.PolicyRequest) (*relaypb.PolicySnapshot, error) {
+	reply := s.handler.Configuration(PolicyRequest{Known: decodeVersion(r.GetKnown()), Content: r.GetContent()})
+	message := &relaypb.PolicySnapshot{
+		Version: encodeVersion(reply.Version), Partial: reply.Partial, Proven: reply.Proven, AgeNanos: int64(reply.Age),
+	}
+	var err error
+	switch {
+	case reply.Policy == nil:
+	case reply.Partial:
+		message.Policy, err = json.Marshal(reply.Policy)
+	default:
+		message.Policy, err = s.encode(reply.Policy)
+	}
+	return message, errors.WithStack(err)
+}
+
 // Handle implements relaypb.RelayServer.
 func (s *service) Handle(ctx context.Context, r *relaypb.CallerRequest) (*relaypb.CallerReply, error) {
 	reply := s.handler.Handle(ctx, Request{
@@ -98,7 +138,13 @@
 	return &relaypb.Answer{Leading: job.Leading, Known: job.Known, State: string(job.State)}, nil
 }
 
-func decodeHeartbeat(message *relaypb.Heartbeat, now time.Time) (Heartbeat, error) {
+func decodeVersion(message *relaypb.PolicyVersion) policywatch.Version {
+	return policywatch.Version{
+		Revision: store.Revision(message.GetRevision()), ChangedAt: store.Revision(message.GetChangedAt()),
+	}
+}
+
+func decodeHeartbeat(message *relaypb.Heartbeat) (Heartbeat, error) {
 	sender, err := decodeMember(message.GetSender())
 	if err != nil {
 		return Heartbeat{}, err
@@ -106,9 +152,7 @@
 	h := Heartbeat{
 		Sender: sender, Fence: store.Revision(message.GetFence()), Pending: map[string]int{},
 		Lease: store.LeaseID(message.GetLease()), Resigned: message.GetResigned(),
-	}
-	if h.Policy, err = decodePolicy(message.GetPolicy(), now); err != nil {
-		return Heartbeat{}, err
+		Policy: decodeVersion(message.GetPolicy()),
 	}
 	h.JobAllowance = jobmemory.Allowance{
 		Limited: message.GetJobAllowance() != nil, Bytes: message.GetJobAllowance().GetBytes(),
@@ -132,19 +176,6 @@
 	return h, nil
 }
 
-func decodePolicy(message *relaypb.PolicySnapshot, now time.Time) (policywatch.Snapshot, error) {
-	snapshot := policywatch.Snapshot{
-		Revision: store.Revision(message.GetRevision()), ChangedAt: store.Revision(message.GetChangedAt()),
-		CurrentAt:   policywatch.Never,
-		ConfirmedAt: now.Add(-time.Duration(message.GetAgeMillis()) * time.Millisecond),
-	}
-	if len(message.GetPolicy()) == 0 {
-		return snapshot, nil
-	}
-	snapshot.Policy = &policy.Policy{}
-	return snapshot, decoding.Unmarshal(message.GetPolicy(), snapshot.Policy, decoding.Dense)
-}
-
 func decodeMember(message *relaypb.Member) (Member, error) {
 	address, err := netip.ParseAddrPort(message.GetAddress())
 	if err != nil {
@@ -154,9 +185,9 @@
 }
 
 func decodeHeartbeatReply(reply *relaypb.HeartbeatReply) HeartbeatReply {
-	decoded := HeartbeatReply{
+	decoded := HeartbeatReply{Policy: policywatch.Version{
 		Revision: store.Revision(reply.GetRevision()), ChangedAt: store.Revision(reply.GetChangedAt()),
-	}
+	}}
 	if leader, err := decodeMember(reply.GetLeader()); err == nil {
 		decoded.Leader = leader
 	}
--- a/io/relay/server_test.go
+++ b/io/relay/server_test.go
@@ -23,6 +23,11 @@
 	panic("no heartbeat can be handled")
 }
 
+// Configuration implements relay.Handler.
+func (panickingHandler) Configuration(relay.PolicyRequest) relay.PolicyReply {
+	panic("no question can be handled")
+}
+
 // Handle implements relay.Handler.
 func (panickingHandler) Handle(context.Context, relay.Request) answer.Answer {
 	panic("no request can be handled")
@@ -50,6 +55,8 @@
 		Sender: relay.Member{Name: "other", Address: netip.MustParseAddrPort("127.0.0.1:1")},
 	})
 	qt.Check(t, err, qt.IsNotNil)
+	_, err = peer.Configuration(ctx, relay.PolicyRequest{})
+	qt.Check(t, err, qt.IsNotNil)
 	_, err = peer.Handle(ctx, relay.Request{Method: "POST"})
 	qt.Check(t, err, qt.IsNotNil)
 	state, err := peer.Ask(ctx, "job")
--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -92,9 +92,10 @@
 	nodes map[netip.AddrPort]*Node
 	// cut holds the VMs that are cut off from all other VMs.
 	cut map[netip.AddrPort]bool
-	// exchanges is the number of all heartbeats and announcements. policies is the number of messages among them that
-	// carried the content of a configuration. memberLists is the number of messages that carried a list of members.
-	exchanges, policies, memberLists int
+	// exchanges is the number of all heartbeats and announcements. memberLists is the number of messages among them that
+	// carried a list of members. questions is the number of questions for the configuration, and policies the number of
+	// their replies that carried content.
+	messageCounts
 }
 
 // reach returns the node at the address to, or nil if that node does not run or a cut separates it from the sender.
@@ -107,27 +108,36 @@
 	return n.nodes[to]
 }
 
-// count increases the counter exchanges by 1. It also increases policies by 1 if the heartbeat carries the content of a
-// configuration, and memberLists by 1 if the heartbeat carries a list of members.
-func (n *network) count(h relay.Heartbeat) {
+// countPolicy increases the counter questions by 1, and policies by 1 if the reply carries the content of a configuration.
+func (n *network) countPolicy(reply relay.PolicyReply) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.exchanges++
-	if h.Policy.Policy != nil {
+	n.questions++
+	if reply.Policy != nil {
 		n.policies++
 	}
+}
+
+// count increases the counter exchanges by 1, and memberLists by 1 if the heartbeat carries a list of members.
+func (n *network) count(h relay.Heartbeat) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.exchanges++
 	if len(h.Members) > 0 {
 		n.memberLists++
 	}
 }
 
+// messageCounts are numbers of messages between VMs.
+type messageCounts struct{ exchanges, memberLists, questions, policies int }
+
 // takeCounts returns the numbers of messages since its last call, and resets them to zero.
-func (n *network) takeCounts() (exchanges, policies, memberLists int) {
+func (n *network) takeCounts() messageCounts {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	exchanges, policies, memberLists = n.exchanges, n.policies, n.memberLists
-	n.exchanges, n.policies, n.memberLists = 0, 0, 0
-	return exchanges, policies, memberLists
+	counts := n.messageCounts
+	n.messageCounts = messageCounts{}
+	return counts
 }
 
 func (n *network) set(address netip.AddrPort, node *Node) {
@@ -183,6 +193,16 @@
 	return node.Exchange(h), nil
 }
 
+func (l *link) Configuration(ctx context.Context, r relay.PolicyRequest) (relay.PolicyReply, error) {
+	node, err := l.node(ctx)
+	if err != nil {
+		return relay.PolicyReply{}, err
+	}
+	reply := node.Configuration(r)
+	l.network.countPolicy(reply)
+	return reply, nil
+}
+
 func (l *link) Handle(ctx context.Context, r relay.Request) (answer.Answer, error) {
 	node, err := l.node(ctx)
 	if err != nil {
--- a/io/site/introduce.go
+++ b/io/site/introduce.go
@@ -32,10 +32,11 @@
 func (n *Node) introduceTo(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	reply, err := n.config.Peers.Peer(address).Exchange(ctx, relay.Heartbeat{Sender: n.self})
+	reply, err := n.config.Peers.Peer(address).Exchange(ctx, relay.Heartbeat{Sender: n.self, Policy: n.watcher.Current().Version})
 	if err != nil {
 		n.config.Log.Debug("introduction to another VM failed", "address", address.String(), "error", err.Error())
 		return
 	}
 	n.members.setLeaderHint(reply.Leader)
+	n.follower.announced(address, reply.Policy)
 }
--- a/io/site/members.go
+++ b/io/site/members.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sort"
@@ -253,6 +254,21 @@
 	return list
 }
 
+// policySources returns the addresses of the VMs to ask for the configuration: the leader and some other members or, if
+// there are none, the seeds.
+func (m *members) policySources() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := []netip.AddrPort{m.lastLeader.Address, m.leaderHint.Address}
+	for _, i := range rand.Perm(len(m.others))[:min(randomSources, len(m.others))] {
+		list = append(list, m.others[i].Address)
+	}
+	if len(m.others) == 0 {
+		list = append(list, m.seeds...)
+	}
+	return slices.DeleteFunc(list, func(a netip.AddrPort) bool { return !a.IsValid() || a == m.self.Address })
+}
+
 // requestAnnouncement makes this VM send its configuration to its neighbors.
 func (m *members) requestAnnouncement() {
 	select {
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -16,6 +16,7 @@
 	"auburnstack/core/graph"
 	"auburnstack/core/jobmemory"
 	"auburnstack/core/planner"
+	"auburnstack/core/policy"
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/adviser"
@@ -77,6 +78,7 @@
 	store       *store.Monitor
 	self        relay.Member
 	watcher     *policywatch.Watcher
+	follower    *policyFollower
 	coordinator *coordinator.Coordinator
 	candidate   *election.Candidate
 	intake      *intake.Intake
@@ -98,6 +100,7 @@
 	revisions := store.NewRevisionLog(config.Store, config.Clock)
 	n.store = store.NewMonitor(revisions)
 	n.members = newMembers(n.self, config.Seeds)
+	n.follower = newPolicyFollower(n, config.ApplyLimit)
 	n.memory = newMemory(config.JobMemory, config.Metrics, config.Log)
 	n.coordinator = coordinator.New(coordinator.Config{
 		Store: n.store, Revisions: revisions, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
@@ -127,6 +130,7 @@
 	})
 	n.loops.Go(func() { n.announcePolicies(ctx) })
 	n.loops.Go(func() { n.introduce(ctx) })
+	n.loops.Go(func() { n.follower.run(ctx) })
 	close(ready)
 	return n
 }
@@ -188,22 +192,17 @@
 	n.members.requestAnnouncement()
 }
 
-// Exchange implements relay.Handler. It processes a heartbeat, and replies with the revisions of this VM's
-// configuration and the latest known leader.
+// Exchange implements relay.Handler. It processes a heartbeat, and replies with the version of this VM's configuration and
+// the latest known leader.
 func (n *Node) Exchange(h relay.Heartbeat) relay.HeartbeatReply {
-	if h.Policy.Policy != nil {
-		n.watcher.Offer(&h.Policy)
-	} else {
-		n.watcher.ConfirmCurrent(&h.Policy)
-	}
+	n.follower.announced(h.Sender.Address, h.Policy)
 	if n.members.handleHeartbeat(h) {
 		n.memory.quota.Set(h.JobAllowance)
 	}
 	if h.Resigned {
 		n.loops.Go(func() { n.takeOver(h.Lease) })
 	}
-	current := n.watcher.Current()
-	reply := relay.HeartbeatReply{Revision: current.Revision, ChangedAt: current.ChangedAt}
+	reply := relay.HeartbeatReply{Policy: n.watcher.Current().Version}
 	if _, leading := n.coordinator.Pending(); leading {
 		reply.Leader = n.self
 	} else if leader, hasLeader := n.members.leader(); hasLeader {
@@ -212,6 +211,25 @@
 	return reply
 }
 
+// Configuration implements relay.Handler. It returns the version of this VM's configuration and its content as far as the other
+// VM lacks it and wants it.
+func (n *Node) Configuration(request relay.PolicyRequest) relay.PolicyReply {
+	current := n.watcher.Current()
+	reply := relay.PolicyReply{
+		Version: current.Version, Proven: current.CurrentAt != policywatch.Never, Age: n.watcher.Age(current),
+	}
+	sameRevision := current.Revision == request.Known.Revision && !current.Uncertain() && !request.Known.Uncertain()
+	switch {
+	case current.Policy == nil || !current.Newer(request.Known):
+	case sameRevision:
+		reply.Policy = &policy.Policy{Out: current.Policy.Out, Waves: current.Policy.Waves}
+		reply.Partial = true
+	case request.Content:
+		reply.Policy = current.Policy
+	}
+	return reply
+}
+
 // takeOver ends the lease of a leader that has resigned, and starts an attempt to become leader. The resigned leader
 // cannot end its lease itself when the store refuses its calls.
 func (n *Node) takeOver(lease store.LeaseID) {
--- a/io/site/sender.go
+++ b/io/site/sender.go
@@ -6,16 +6,13 @@
 	"time"
 
 	"auburnstack/io/election"
-	"auburnstack/io/policywatch"
 	"auburnstack/io/relay"
-	"auburnstack/io/store"
 	"auburnstack/io/wait"
 )
 
 const (
 	// announceRounds is the number of times that a VM announces a new configuration to its neighbors. announceInterval
-	// is the pause after each announcement. By the second round most VMs have read the configuration from the store, so
-	// the content of the configuration need not be sent to these VMs.
+	// is the pause after each announcement.
 	announceRounds   = 3
 	announceInterval = 250 * time.Millisecond
 	// membersRefreshInterval is the time after which the list of members is sent to a VM again even if it has not
@@ -23,9 +20,8 @@
 	membersRefreshInterval = 5 * time.Second
 )
 
-// sender sends heartbeats, at most one at a time to each VM. It sends the content of the configuration only to
-// receivers that have named an older configuration in a reply. A leader also sends the list of members, but only after
-// a change or membersRefreshInterval.
+// sender sends heartbeats, at most one at a time to each VM. A leader also sends the list of members, but only after a
+// change or membersRefreshInterval.
 type sender struct {
 	node *Node
 	// role is the leadership term in which the heartbeats are sent; nil when the VM does not lead.
@@ -41,20 +37,12 @@
 type peerState struct {
 	// busy is set while a heartbeat to the receiver is in flight.
 	busy bool
-	// reportedPolicy identifies the configuration that the receiver has named in its last reply. announcedPolicy
-	// identifies the configuration that the sender has last announced to the receiver.
-	reportedPolicy, announcedPolicy policyVersion
 	// membersVersion is the version of the last list of members sent to the receiver. membersSentAt is the time at
 	// which that list was sent.
 	membersVersion uint64
 	membersSentAt  time.Time
 }
 
-// policyVersion identifies a configuration by its position in the store's history, like policywatch.Snapshot.
-type policyVersion struct {
-	revision, changedAt store.Revision
-}
-
 func newSender(n *Node, role *election.Role) *sender {
 	return &sender{node: n, role: role, peers: map[relay.Member]*peerState{}}
 }
@@ -83,8 +71,7 @@
 	}
 }
 
-// announce announces the current configuration to the neighbors in several rounds. The first round omits the content of
-// the configuration; later rounds send the content to those neighbors that still have an older configuration.
+// announce announces the current configuration to the neighbors in several rounds.
 func (s *sender) announce(ctx context.Context) {
 	for range announceRounds {
 		s.send(ctx, s.node.members.neighbors())
@@ -134,19 +121,14 @@
 	return true
 }
 
-// exchange sends a heartbeat, and records which configuration and members the receiver has. If the call fails, it
-// discards the recorded state of the receiver, so that the list of members is sent again.
+// exchange sends a heartbeat, and records which members the receiver knows. If the call fails, it discards the recorded
+// state of the receiver, so that the list of members is sent again.
 func (s *sender) exchange(ctx context.Context, receiver relay.Member, h relay.Heartbeat) {
-	snapshot := *s.node.watcher.Current()
-	announced := policyVersion{revision: snapshot.Revision, changedAt: snapshot.ChangedAt}
+	h.Policy = s.node.watcher.Current().Version
 	members, membersVersion := s.node.members.listWithVersion()
 	s.mu.Lock()
 	state := *s.peers[receiver]
 	s.mu.Unlock()
-	if !state.needsPolicy(&snapshot) {
-		snapshot.Policy = nil
-	}
-	h.Policy = snapshot
 	if s.role != nil &&
 		(state.membersVersion != membersVersion || time.Since(state.membersSentAt) >= membersRefreshInterval) {
 		h.Members = append([]relay.Member{s.node.self}, members...)
@@ -155,6 +137,9 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	reply, err := s.node.config.Peers.Peer(receiver.Address).Exchange(ctx, h)
+	if err == nil {
+		s.node.follower.announced(receiver.Address, reply.Policy)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -164,19 +149,6 @@
 	if s.role != nil {
 		s.node.members.recordContact(receiver)
 	}
-	state.busy, state.announcedPolicy = false, announced
-	state.reportedPolicy = policyVersion{revision: reply.Revision, changedAt: reply.ChangedAt}
+	state.busy = false
 	s.peers[receiver] = &state
 }
-
-// needsPolicy reports whether the content of a configuration has to be sent to the receiver: the configuration was
-// announced to it, and the receiver's last reply still named an older configuration. Content is not sent right away
-// because it is large, and most VMs read it from the store in the meantime.
-func (p *peerState) needsPolicy(snapshot *policywatch.Snapshot) bool {
-	if p.announcedPolicy != (policyVersion{revision: snapshot.Revision, changedAt: snapshot.ChangedAt}) {
-		return false
-	}
-	return snapshot.Newer(&policywatch.Snapshot{
-		Revision: p.reportedPolicy.revision, ChangedAt: p.reportedPolicy.changedAt,
-	})
-}
--- a/io/site/spread_test.go
+++ b/io/site/spread_test.go
@@ -13,6 +13,7 @@
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
+	"auburnstack/io/policywatch"
 	"auburnstack/standin/memstore"
 	"auburnstack/standin/memworker"
 )
@@ -45,13 +46,17 @@
 				qt.Check(t, v.node.Policy().Policy.Version, qt.Equals, version, qt.Commentf("%s", v.name))
 			}
 		}
-		exchanges, policies, memberLists := f.network.takeCounts()
+		counts := f.network.takeCounts()
 		// For each change, each VM sends 3 rounds of announcements to 6 neighbors, in addition to the leader's
 		// heartbeats.
 		heartbeats := int(4*adoptionTime/heartbeatInterval) + 1
-		qt.Check(t, exchanges <= vms*(heartbeats+4*announceRounds*6), qt.IsTrue, qt.Commentf("%d exchanges", exchanges))
-		qt.Check(t, policies <= 4*20, qt.IsTrue, qt.Commentf("%d policies", policies))
-		qt.Check(t, memberLists <= 3*vms, qt.IsTrue, qt.Commentf("%d member lists", memberLists))
+		qt.Check(t, counts.exchanges <= vms*(heartbeats+4*announceRounds*6), qt.IsTrue,
+			qt.Commentf("%d exchanges", counts.exchanges))
+		qt.Check(t, counts.policies <= 4*20, qt.IsTrue, qt.Commentf("%d policies", counts.policies))
+		qt.Check(t, counts.memberLists <= 3*vms, qt.IsTrue, qt.Commentf("%d member lists", counts.memberLists))
+		// Only the refused VM asks, the leader and others in each round, and its neighbors after an announcement.
+		rounds := int(4 * adoptionTime / askInterval)
+		qt.Check(t, counts.questions <= rounds*(randomSources+1)+4*20, qt.IsTrue, qt.Commentf("%d questions", counts.questions))
 	})
 }
 
@@ -119,3 +124,64 @@
 		}
 	})
 }
+
+// TestRefusedVMsKeepUp changes the configuration of a site of 40 VMs while the store refuses a third of them and the
+// leaders are killed one after the other. It guards against VMs that are told nothing, because the next leader does not
+// know them, and against VMs that must refuse their callers because nobody tells them that nothing has changed.
+func TestRefusedVMsKeepUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, changes = 40, 40
+		f := newFleet(t, 8, vms, 2)
+		defer f.close()
+		time.Sleep(20 * time.Second)
+		refused := f.refuseThird()
+		worst, oldest := time.Duration(0), time.Duration(0)
+		for i := range changes {
+			if i%5 == 2 {
+				f.awaitLeader().kill()
+			}
+			version := policy.Version(2 + i)
+			f.putPolicy(version)
+			changedAt := time.Now()
+			for time.Since(changedAt) < 500*time.Millisecond {
+				time.Sleep(20 * time.Millisecond)
+				for _, v := range refused {
+					oldest = max(oldest, v.node.watcher.Age(v.node.Policy()))
+					if v.node.Policy().Policy.Version < version {
+						worst = max(worst, time.Since(changedAt))
+					}
+				}
+			}
+			if behind := f.behind(refused, version); behind > 0 {
+				worst = max(worst, behind)
+			}
+		}
+		t.Logf("worst lag %s, oldest proof %s", worst, oldest)
+		qt.Check(t, worst <= applyLimit, qt.IsTrue, qt.Commentf("a refused VM was %s behind", worst))
+		qt.Check(t, oldest <= policywatch.MaxAge(applyLimit)+askTimeout, qt.IsTrue, qt.Commentf("proof %s old", oldest))
+	})
+}
+
+// refuseThird makes the store refuse the calls of every third VM, but not of the leader, and returns these VMs.
+func (f *fleet) refuseThird() []*testVM {
+	leader := f.awaitLeader()
+	var refused []*testVM
+	for i, v := range f.vms {
+		if i%3 == 1 && v != leader {
+			v.client.SetFaults(memstore.Faults{Refuse: true})
+			refused = append(refused, v)
+		}
+	}
+	return refused
+}
+
+// behind returns the time, up to ten seconds, until all given VMs have a version of the configuration.
+func (f *fleet) behind(vms []*testVM, version policy.Version) time.Duration {
+	start := time.Now()
+	for _, v := range vms {
+		for v.node.Policy().Policy.Version < version && time.Since(start) < 10*time.Second {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
