Readings of the same configuration are not announced

When the store drops its history while something changes, all VMs read all keys again, each at another revision of the store.

--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 	"time"
 
@@ -190,6 +191,16 @@
 	return false
 }
 
+// SameOperations reports whether two policies agree on what operators order besides the configuration itself: the failure
+// domains that are out and the waves.
+func (p *Policy) SameOperations(other *Policy) bool {
+	return slices.Equal(slices.Sorted(slices.Values(p.Out)), slices.Sorted(slices.Values(other.Out))) &&
+		slices.EqualFunc(p.Waves, other.Waves, func(a, b upkeep.Wave) bool {
+			return a.Number == b.Number && a.Duration == b.Duration && a.MaxDown == b.MaxDown &&
+				slices.Equal(a.Machines, b.Machines)
+		})
+}
+
 // IsOut reports whether operators have taken a failure domain out of service, so that nothing may start there.
 func (p *Policy) IsOut(name domain.Name) bool {
 	for _, out := range p.Out {
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -43,6 +43,12 @@
 	return time.Duration(float64(applyLimit) * maxAgeShare)
 }
 
+// sameContent reports whether two snapshots hold the same configuration, evacuations and waves.
+func (s *Snapshot) sameContent(other *Snapshot) bool {
+	return other.Policy != nil && s.Revision == other.Revision && !s.Uncertain() && !other.Uncertain() &&
+		s.Policy.SameOperations(other.Policy)
+}
+
 // Source tells from where a VM has a configuration.
 type Source string
 
@@ -297,7 +303,8 @@
 }
 
 // adopt replaces the current snapshot if next is newer. If both identify the same configuration, adopt takes over the
-// confirmation time of next if it is later.
+// confirmation time of next if it is later. A snapshot that is newer only because all keys were read again, and holds the
+// same, is adopted silently: otherwise all VMs would announce what each of them has read.
 func (w *Watcher) adopt(next *Snapshot, source Source) {
 	w.mu.Lock()
 	current := w.current.Load()
@@ -306,11 +313,12 @@
 		w.current.Store(next)
 	}
 	w.mu.Unlock()
-	if !newer {
+	switch {
+	case !newer:
 		w.ConfirmCurrent(next)
-		return
+	case !next.sameContent(current):
+		w.onAdopted(next, source)
 	}
-	w.onAdopted(next, source)
 }
 
 // replace replaces the current snapshot unless that one is newer.
