VMs ask others later for a proof, as a quiet store proves less

A store in which nothing changes proves only the time of asking, so a VM's proof gets up to 1.6 s old there.

--- a/io/site/policyfollower.go
+++ b/io/site/policyfollower.go
@@ -16,7 +16,7 @@
 	// configuration is the newest.
 	askInterval = 300 * time.Millisecond
 	// askAfterShare is the share of the largest age of a proof after which a VM asks other VMs for a newer one.
-	askAfterShare = 0.75
+	askAfterShare = 0.9
 	// announceDelay is the time that a VM's own watch has to bring a configuration that another VM has announced.
 	announceDelay = 150 * time.Millisecond
 	// contentTimeout is the timeout of a call that returns the content of a configuration. It may hold a megabyte and
