A VM relays to VMs in another order each time

A VM that the store refuses relayed its callers' requests, and introduced itself, to the last known leader and the same next VMs in the order of names. With these gone it answered none of its callers' submissions for as long as it ran.

The order of the other members is now drawn for each request. VMs that the store does not answer also ask for a proof earlier, at half of the largest age.

--- a/io/site/members.go
+++ b/io/site/members.go
@@ -224,7 +224,7 @@
 }
 
 // relayAddresses lists the addresses to relay a request to, in the order in which to try them: the address of
-// lastLeader, the address of leaderHint, the other members, the seeds. It returns at most maxRelays addresses. A VM
+// lastLeader, the address of leaderHint, the other members in a random order, the seeds. It returns at most maxRelays addresses. A VM
 // that reaches neither the store nor a leader introduces itself to the same addresses.
 func (m *members) relayAddresses() []netip.AddrPort {
 	m.mu.Lock()
@@ -243,10 +243,10 @@
 	}
 	add(m.lastLeader.Address)
 	add(m.leaderHint.Address)
-	// Each VM starts after its own position in the list, so that relayed requests are spread over all VMs.
-	begin := sort.Search(len(m.others), func(i int) bool { return m.others[i].Name > m.self.Name })
-	for i := range m.others {
-		add(m.others[(begin+i)%len(m.others)].Address)
+	// The order is another one each time, so that relayed requests are spread over all VMs, and that VMs which are gone
+	// don't get them again and again.
+	for _, i := range rand.Perm(len(m.others)) {
+		add(m.others[i].Address)
 	}
 	for _, seed := range m.seeds {
 		add(seed)
--- a/io/site/policyfollower.go
+++ b/io/site/policyfollower.go
@@ -15,8 +15,10 @@
 	// askInterval is the time between two rounds of questions to other VMs while nothing proves that this VM's
 	// configuration is the newest.
 	askInterval = 300 * time.Millisecond
-	// askAfterShare is the share of the largest age of a proof after which a VM asks other VMs for a newer one.
-	askAfterShare = 0.9
+	// askAfterShare is the share of the largest age of a proof after which a VM asks other VMs for a newer one. A VM that
+	// the store does not answer asks earlier, after refusedAskAfterShare.
+	askAfterShare        = 0.9
+	refusedAskAfterShare = 0.5
 	// announceDelay is the time that a VM's own watch has to bring a configuration that another VM has announced.
 	announceDelay = 150 * time.Millisecond
 	// contentTimeout is the timeout of a call that returns the content of a configuration. It may hold a megabyte and
@@ -32,8 +34,8 @@
 // store does not prove which one is the newest.
 type policyFollower struct {
 	node *Node
-	// askAfter is the age of the last proof from which on other VMs are asked.
-	askAfter time.Duration
+	// maxAge is the largest age of a proof with which the VM may answer by its configuration.
+	maxAge time.Duration
 	// announcements holds what other VMs have announced.
 	announcements chan announcement
 	// contentCalls has a place for each call that returns a content.
@@ -54,7 +56,7 @@
 // newPolicyFollower returns a follower for a site in which a change must be in force within applyLimit.
 func newPolicyFollower(n *Node, applyLimit time.Duration) *policyFollower {
 	return &policyFollower{
-		node: n, askAfter: time.Duration(askAfterShare * float64(policywatch.MaxAge(applyLimit))),
+		node: n, maxAge: policywatch.MaxAge(applyLimit),
 		announcements: make(chan announcement, 16), contentCalls: make(chan struct{}, maxContentCalls),
 		asked: map[netip.AddrPort]bool{},
 	}
@@ -84,13 +86,23 @@
 		case a := <-f.announcements:
 			f.askLater(ctx, a)
 		case <-ticker.C:
-			if f.node.watcher.Age(f.node.watcher.Current()) > f.askAfter {
+			if f.needsProof() {
 				f.askAny(ctx)
 			}
 		}
 	}
 }
 
+// needsProof reports whether the last proof is so old that other VMs should be asked for a newer one.
+func (f *policyFollower) needsProof() bool {
+	share := askAfterShare
+	if !f.node.store.Answering() {
+		share = refusedAskAfterShare
+	}
+	age := f.node.watcher.Age(f.node.watcher.Current())
+	return age > time.Duration(share*float64(f.maxAge))
+}
+
 // askLater asks the VM that has made an announcement, unless this VM has got the configuration by then.
 func (f *policyFollower) askLater(ctx context.Context, a announcement) {
 	f.begin(a.address, func() {
--- a/io/site/spread_test.go
+++ b/io/site/spread_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,6 +165,32 @@
 	})
 }
 
+// TestRefusedVMFindsOthers kills the VMs that a refused VM would turn to first: the leader and the next ones in the order
+// of names. It guards against a VM that relays its callers' requests to VMs that are gone, as long as it runs.
+func TestRefusedVMFindsOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10, 10, 4)
+		defer f.close()
+		time.Sleep(20 * time.Second)
+		leader := f.awaitLeader()
+		position := slices.Index(f.vms, leader) + 5
+		v := f.vms[position%len(f.vms)]
+		v.client.SetFaults(memstore.Faults{Refuse: true})
+		time.Sleep(10 * time.Second)
+		leader.kill()
+		for distance := 1; distance <= 3; distance++ {
+			f.vms[(position+distance)%len(f.vms)].kill()
+		}
+		time.Sleep(10 * time.Second)
+		body, err := json.Marshal(graph.Job{Steps: oneStep(1, false, 1)})
+		qt.Assert(t, err, qt.IsNil)
+		for number := range 5 {
+			id := fmt.Sprintf("%016x", 0xb0+number)
+			qt.Check(t, v.serve("POST", urgentQueue+id, body).Kind, qt.Equals, answer.Done)
+		}
+	})
+}
+
 // refuseThird makes the store refuse the calls of every third VM, but not of the leader, and returns these VMs.
 func (f *fleet) refuseThird() []*testVM {
 	leader := f.awaitLeader()
