A proof of the configuration is as old as the question

An answer of the store proves what was newest when it was asked for, or up to the end of a wait in which the store heard of no change. ConfirmedAt was when the answer was taken up: what a slow link, a busy VM or a pause added counted as fresh, also in what a leader told other VMs. Callers could be refused (401, 404) by a configuration that had been replaced for longer than the bound.

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"auburnstack/core/roster"
 	"auburnstack/core/vm"
 	"auburnstack/io/adviser"
+	"auburnstack/io/boottime"
 	"auburnstack/io/election"
 	"auburnstack/io/inventory"
 	"auburnstack/io/policywatch"
@@ -31,6 +32,8 @@
 	Dialer    runner.Dialer
 	Roster    rosterwatch.Codec
 	Policy    func() *policywatch.Snapshot
+	// Clock is the clock of Policy's proofs. If it is nil, it is boottime.Now.
+	Clock boottime.Clock
 	// Name is the name of the VM. Upkeep orders carry it as their sender.
 	Name      vm.Name
 	Adviser   adviser.Adviser
--- a/io/coordinator/limit_test.go
+++ b/io/coordinator/limit_test.go
@@ -12,12 +12,13 @@
 	"auburnstack/io/policywatch"
 )
 
-// setLimit makes a policy with a limit known to the term, as if it was confirmed at the given time.
+// setLimit makes a policy with a limit known to the term, as if it was last proven to be the newest at the given time.
 func (c *capacityTerm) setLimit(accelerators int64, confirmed time.Time) {
 	next := limitedPolicy(accelerators)
 	c.config.Policy = func() *policywatch.Snapshot {
-		return &policywatch.Snapshot{Policy: next, ConfirmedAt: confirmed}
+		return &policywatch.Snapshot{Policy: next}
 	}
+	c.config.Clock = func() time.Duration { return time.Since(confirmed) }
 	c.planner.SetPolicy(next)
 }
 
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -176,7 +176,7 @@
 
 // policyConfirmed reports whether the configuration was confirmed to be the newest within maxPolicyAge.
 func (t *term) policyConfirmed() bool {
-	return time.Since(t.config.Policy().ConfirmedAt) < maxPolicyAge
+	return t.config.Clock()-t.config.Policy().CurrentAt < maxPolicyAge
 }
 
 func (o *orders) start(l *link, a planner.Start, repeated bool) {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -12,6 +12,7 @@
 	"auburnstack/core/planner"
 	"auburnstack/core/roster"
 	"auburnstack/core/upkeep"
+	"auburnstack/io/boottime"
 	"auburnstack/io/election"
 	"auburnstack/io/rosterwatch"
 	"auburnstack/io/store"
@@ -96,6 +97,9 @@
 }
 
 func newTerm(config Config, role *election.Role) *term {
+	if config.Clock == nil {
+		config.Clock = boottime.Now
+	}
 	t := &term{
 		config: config, role: role, events: make(chan event, eventBuffer), pacer: newPacer(),
 		openingSlots: make(chan struct{}, maxOpeningLinks),
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -78,8 +78,9 @@
 	log        hclog.Logger
 	// coding has a place for each submission that is being decoded or encoded.
 	coding chan struct{}
-	// lastRelayed is the time at which another VM last answered a request that this VM relayed; nil if none has.
-	lastRelayed atomic.Pointer[time.Time]
+	// lastRelayed is the reading of the watcher's clock, in nanoseconds, when another VM last answered a request that this
+	// VM relayed; policywatch.Never if none has.
+	lastRelayed atomic.Int64
 }
 
 // New returns an intake that reads configurations from the watcher and stores jobs in the store s, whose values have at
@@ -89,10 +90,12 @@
 	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, applyLimit time.Duration, valueLimit int,
 	metrics *Metrics, log hclog.Logger,
 ) *Intake {
-	return &Intake{
+	i := &Intake{
 		store: s, codec: codec, watcher: watcher, maxPolicyAge: policywatch.MaxAge(applyLimit), site: site,
 		valueLimit: valueLimit, metrics: metrics, log: log, coding: make(chan struct{}, codingPlaces),
 	}
+	i.lastRelayed.Store(int64(policywatch.Never))
+	return i
 }
 
 // call is a request that is being handled, with its queue, client account and job as far as they have been determined.
@@ -154,7 +157,7 @@
 	}
 	log("answered", "method", c.Method, "job", c.id, "queue", c.queue.Name, "answer", a.Kind.String(), "reason", a.Reason,
 		"took", elapsed.String(), "relayed", c.relayed, "policy", c.snapshot.Revision,
-		"policyAge", age.String(), "arrivedBefore", time.Since(c.snapshot.ConfirmedAt).String(), "uncertain", c.uncertain)
+		"policyAge", age.String(), "uncertain", c.uncertain)
 }
 
 // handle checks a request against the current configuration and carries it out. It relays the request if the
@@ -215,7 +218,7 @@
 
 // policyProven reports whether a configuration was recently proven to be the newest.
 func (i *Intake) policyProven(snapshot *policywatch.Snapshot) bool {
-	return time.Since(snapshot.ConfirmedAt) < i.maxPolicyAge
+	return i.watcher.Age(snapshot) < i.maxPolicyAge
 }
 
 // refusal returns an answer that asks the caller to retry after a random time, which is longer when the store has not
--- a/io/intake/proof_test.go
+++ b/io/intake/proof_test.go
@@ -12,6 +12,7 @@
 	"auburnstack/core/roster"
 	"auburnstack/io/relay"
 	"auburnstack/io/store"
+	"auburnstack/standin/memstore"
 )
 
 // applyLimit is the time within which a change of the configuration must be in force on the VMs of these tests.
@@ -66,3 +67,19 @@
 		}
 	}
 }
+
+// TestLateAnswerIsNoProof guards against a refusal by a configuration that is older than the answer of the store that
+// brought it: the answer was long under way, and the configuration was replaced meanwhile.
+func TestLateAnswerIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newProvenVM(t, "xy")
+		v.watcher.Close()
+		v.service.Put("op/config", []byte("y"))
+		v.client.SetFaults(memstore.Faults{LateReplies: 850 * time.Millisecond})
+		time.AfterFunc(100*time.Millisecond, func() { v.service.Put("op/config", []byte("xy")) })
+		sent := time.Now()
+		qt.Assert(t, v.request("x", "POST", "/q/"+jobID, true).Kind, qt.Equals, answer.NoKey)
+		time.Sleep(time.Until(sent.Add(100*time.Millisecond + applyLimit)))
+		qt.Check(t, v.request("x", "GET", "/q/", true).Kind, qt.Not(qt.Equals), answer.NoKey)
+	})
+}
--- a/io/intake/relay.go
+++ b/io/intake/relay.go
@@ -107,26 +107,17 @@
 }
 
 // recordRelayed records that another VM has answered a caller according to its configuration, which may be newer than
-// this VM's. From then on, this VM uses its own configuration only if it was confirmed as the newest after this answer.
+// this VM's. From then on, this VM uses its own configuration only if it was the newest after this answer.
 // Otherwise a caller could get an answer according to the new configuration, followed by an answer according to the old
 // configuration.
 func (i *Intake) recordRelayed(a answer.Answer) {
 	if a.Kind != answer.Refused && a.Kind != answer.Unknown {
-		now := time.Now()
-		i.lastRelayed.Store(&now)
+		i.lastRelayed.Store(int64(i.watcher.Now()))
 	}
 }
 
 // superseded reports whether another VM has answered a caller since a snapshot was last proven to be the newest, perhaps
 // according to a newer one.
 func (i *Intake) superseded(snapshot *policywatch.Snapshot) bool {
-	return snapshot.ConfirmedAt.Before(i.lastRelayedAt())
-}
-
-// lastRelayedAt returns the time that recordRelayed has recorded last; zero if there is none.
-func (i *Intake) lastRelayedAt() time.Time {
-	if at := i.lastRelayed.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
+	return int64(snapshot.CurrentAt) < i.lastRelayed.Load()
 }
--- a/io/policywatch/rejected_test.go
+++ b/io/policywatch/rejected_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
@@ -45,9 +46,8 @@
 	w.Changed([]store.Event{{Item: store.Item{Key: "op/out", Revision: 6}}}, 6, 0)
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(2))
 	qt.Check(t, w.Current().Policy.Out, qt.DeepEquals, []domain.Name{"op/out"})
-	confirmed := w.Current().ConfirmedAt
-	w.Changed(nil, 6, 0)
-	qt.Check(t, w.Current().ConfirmedAt.After(confirmed), qt.IsTrue)
+	w.Changed(nil, 6, time.Second)
+	qt.Check(t, w.Current().CurrentAt, qt.Equals, time.Second)
 
 	w.Changed([]store.Event{{Item: store.Item{Key: "op/config", Revision: 7, Value: []byte("xyz")}}}, 7, 0)
 	qt.Check(t, w.Current().Policy.Version, qt.Equals, policy.Version(3))
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -101,8 +101,6 @@
 	// Policy is nil until a configuration is known.
 	Policy *policy.Policy
 	Version
-	// ConfirmedAt is the last time at which the snapshot was confirmed to be the newest.
-	ConfirmedAt time.Time
 	// CurrentAt is the latest reading of the VM's clock at which the snapshot is proven to have been the newest in the
 	// store, or Never. It is when the proof was asked for, not when it arrived.
 	CurrentAt time.Duration
@@ -220,9 +218,7 @@
 	if decoded == nil {
 		return
 	}
-	next := &Snapshot{
-		Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: at}, ConfirmedAt: time.Now(), CurrentAt: seen,
-	}
+	next := &Snapshot{Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: at}, CurrentAt: seen}
 	if w.gap {
 		w.publishAfterGap(next, source)
 		return
@@ -292,8 +288,7 @@
 		decoded.Out, decoded.Waves = current.Policy.Out, current.Policy.Waves
 	}
 	w.adopt(&Snapshot{
-		Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: changedAt}, ConfirmedAt: time.Now(),
-		CurrentAt: seen,
+		Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: changedAt}, CurrentAt: seen,
 	}, Conflict)
 }
 
@@ -303,7 +298,7 @@
 }
 
 // adopt replaces the current snapshot if next is newer. If both identify the same configuration, adopt takes over the
-// confirmation time of next if it is later. A snapshot that is newer only because all keys were read again, and holds the
+// proof of next if it is later. A snapshot that is newer only because all keys were read again, and holds the
 // same, is adopted silently: otherwise all VMs would announce what each of them has read.
 func (w *Watcher) adopt(next *Snapshot, source Source) {
 	w.mu.Lock()
@@ -315,7 +310,7 @@
 	w.mu.Unlock()
 	switch {
 	case !newer:
-		w.ConfirmCurrent(next)
+		w.takeProof(next)
 	case !next.sameContent(current):
 		w.onAdopted(next, source)
 	}
@@ -334,19 +329,18 @@
 	}
 }
 
-// ConfirmCurrent takes over the confirmation time of another snapshot if that snapshot identifies the current
-// configuration and was confirmed later.
-func (w *Watcher) ConfirmCurrent(other *Snapshot) {
+// takeProof takes over the proof of another snapshot if that snapshot identifies the current configuration and its proof
+// is later.
+func (w *Watcher) takeProof(other *Snapshot) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.current.Load()
-	if other.Version != current.Version || !other.ConfirmedAt.After(current.ConfirmedAt) {
+	if other.Version != current.Version || other.CurrentAt <= current.CurrentAt {
 		return
 	}
-	confirmed := *current
-	confirmed.ConfirmedAt = other.ConfirmedAt
-	confirmed.CurrentAt = max(confirmed.CurrentAt, other.CurrentAt)
-	w.current.Store(&confirmed)
+	proven := *current
+	proven.CurrentAt = other.CurrentAt
+	w.current.Store(&proven)
 }
 
 // confirm records that the current configuration was the newest at the reading seen of the clock, if the mirrored items
@@ -363,8 +357,7 @@
 		w.log.Info("configuration proven again", "revision", current.Revision, "after", gap.String(),
 			"answerTook", (w.clock() - seen).String())
 	}
-	confirmed := *current
-	confirmed.ConfirmedAt = time.Now()
-	confirmed.CurrentAt = max(confirmed.CurrentAt, seen)
-	w.current.Store(&confirmed)
+	proven := *current
+	proven.CurrentAt = max(proven.CurrentAt, seen)
+	w.current.Store(&proven)
 }
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -104,7 +104,7 @@
 	n.memory = newMemory(config.JobMemory, config.Metrics, config.Log)
 	n.coordinator = coordinator.New(coordinator.Config{
 		Store: n.store, Revisions: revisions, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
-		Policy: func() *policywatch.Snapshot { return n.watcher.Current() }, Name: config.Name,
+		Policy: func() *policywatch.Snapshot { return n.watcher.Current() }, Clock: config.Clock, Name: config.Name,
 		ValueLimit: config.ValueLimit, Memory: n.memory.account,
 		Adviser: config.Adviser, Inventory: config.Inventory, Upkeep: config.Codecs.Upkeep,
 		Metrics: coordinator.NewMetrics(config.Metrics), Log: config.Log,
--- a/io/site/policyfollower.go
+++ b/io/site/policyfollower.go
@@ -172,7 +172,6 @@
 	next := policywatch.Snapshot{Policy: reply.Policy, Version: reply.Version, CurrentAt: policywatch.Never}
 	if reply.Proven {
 		next.CurrentAt = asked - reply.Age
-		next.ConfirmedAt = time.Now().Add(-f.node.watcher.Age(&next))
 	}
 	if reply.Partial && reply.Policy != nil && known.Policy != nil {
 		merged := *known.Policy
--- a/standin/memstore/client.go
+++ b/standin/memstore/client.go
@@ -13,7 +13,7 @@
 
 // Client implements store.Store with calls to a Service, the simulated key-value service. Faults can be set for one
 // client or for the service, and each call is subject to both: Down and Refuse apply if they are set in either, the
-// delays Slow and PerItem are added, and the larger one of the two values of WatchBytes, LoseReplies and LateWrites
+// delays Slow, LateReplies and PerItem are added, and the larger one of the two values of WatchBytes, LoseReplies and LateWrites
 // applies.
 type Client struct {
 	service *Service
@@ -40,6 +40,7 @@
 	f.Down, f.Refuse = f.Down || serviceFaults.Down, f.Refuse || serviceFaults.Refuse
 	f.WatchesUnanswered = f.WatchesUnanswered || serviceFaults.WatchesUnanswered
 	f.Slow += serviceFaults.Slow
+	f.LateReplies += serviceFaults.LateReplies
 	f.PerItem += serviceFaults.PerItem
 	f.WatchBytes = max(f.WatchBytes, serviceFaults.WatchBytes)
 	f.LoseReplies = max(f.LoseReplies, serviceFaults.LoseReplies)
@@ -94,18 +95,37 @@
 		<-ctx.Done()
 		return errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
 	}
+	if delayErr := c.delayReply(ctx); delayErr != nil {
+		return delayErr
+	}
 	return err
 }
 
+// delayReply delays the reply to a call that was carried out. It returns an error if the call's context ends first.
+func (c *Client) delayReply(ctx context.Context) error {
+	delay := c.currentFaults().LateReplies
+	if delay == 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
+	case <-timer.C:
+		return nil
+	}
+}
+
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, key string) (store.Item, error) {
 	if err := c.delayCall(ctx); err != nil {
 		return store.Item{}, err
 	}
-	c.service.mu.Lock()
-	defer c.service.mu.Unlock()
-	c.service.expire()
-	item, found := c.service.items[key]
+	item, found := c.service.item(key)
+	if err := c.delayReply(ctx); err != nil {
+		return store.Item{}, err
+	}
 	if !found {
 		return store.Item{}, store.ErrNotFound
 	}
@@ -124,7 +144,7 @@
 	case <-ctx.Done():
 		return store.Page{}, errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
 	case <-timer.C:
-		return page, nil
+		return page, c.delayReply(ctx)
 	}
 }
 
@@ -147,6 +167,9 @@
 			return store.Changes{}, store.ErrTooLarge
 		}
 		if err != nil || len(changes.Events) > 0 {
+			if delayErr := c.delayReply(ctx); delayErr != nil {
+				return store.Changes{}, delayErr
+			}
 			return changes, err
 		}
 		select {
@@ -157,7 +180,7 @@
 				<-ctx.Done()
 				return store.Changes{}, errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
 			}
-			return changes, nil
+			return changes, c.delayReply(ctx)
 		case <-changed:
 		}
 	}
--- a/standin/memstore/faults.go
+++ b/standin/memstore/faults.go
@@ -11,6 +11,8 @@
 	Down, Refuse bool
 	// Slow is added to the latency of each call.
 	Slow time.Duration
+	// LateReplies is the time that the answer to a call takes to arrive after the call was carried out.
+	LateReplies time.Duration
 	// PerItem is the transfer time of each item of a range, as on a slow link.
 	PerItem time.Duration
 	// WatchBytes is the maximum size of all values in one answer to a watch; a larger answer fails with
--- a/standin/memstore/service.go
+++ b/standin/memstore/service.go
@@ -231,6 +231,15 @@
 	return s.revision, nil
 }
 
+// item returns the item with the given key, and whether there is one.
+func (s *Service) item(key string) (store.Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	item, found := s.items[key]
+	return item, found
+}
+
 // page returns all items whose keys begin with the given prefix, sorted by key.
 func (s *Service) page(prefix string) store.Page {
 	s.mu.Lock()
