What was stored before is confirmed only by the newest configuration

A VM that had not heard of a withdrawn key confirmed a repeated submission (the job was accepted before) or cancellation with it, as the store's answer names both the job and the newer configuration and the job was looked at first. And it forbade (403) a cancellation by an outdated configuration without asking how old that is.

A conflict with the configuration now comes first: the request is handled again by the newer one, unless an earlier attempt of this request may have been carried out. The 403 needs a proof like any refusal.

--- a/io/intake/cancel.go
+++ b/io/intake/cancel.go
@@ -26,6 +26,9 @@
 		return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
 	}
 	if job.ClientAccount != c.account && !c.queue.Anonymous {
+		if !i.policyProven(c.snapshot) {
+			return i.relayUntilProven(ctx, c)
+		}
 		return answer.Answer{Kind: answer.Forbidden, Reason: "the job belongs to another account"}
 	}
 	key := coordinator.CancelKey(c.id)
--- a/io/intake/proof_test.go
+++ b/io/intake/proof_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unicode"
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstack/core/account"
 	"auburnstack/core/answer"
 	"auburnstack/core/policy"
 	"auburnstack/core/roster"
@@ -18,14 +20,19 @@
 // applyLimit is the time within which a change of the configuration must be in force on the VMs of these tests.
 const applyLimit = 2 * time.Second
 
-// keysCodec decodes a configuration whose value lists the accounts' keys, one letter each, for one queue.
+// keysCodec decodes a configuration whose value lists keys, one letter each, for one queue. A small letter is a key of the
+// account "a", a capital one a key of the account "b".
 type keysCodec struct{ codec }
 
 // Decode implements policywatch.Codec.
 func (keysCodec) Decode(items map[string]store.Item) (*policy.Policy, error) {
 	p := &policy.Policy{Queues: []policy.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}}}
 	for _, key := range string(items["op/config"].Value) {
-		p.Accounts = append(p.Accounts, policy.Account{Name: "a", Keys: []policy.Key{policy.Digest(string(key))}})
+		name := account.Name("a")
+		if unicode.IsUpper(key) {
+			name = "b"
+		}
+		p.Accounts = append(p.Accounts, policy.Account{Name: name, Keys: []policy.Key{policy.Digest(string(key))}})
 	}
 	return p, nil
 }
@@ -83,3 +90,33 @@
 		qt.Check(t, v.request("x", "GET", "/q/", true).Kind, qt.Not(qt.Equals), answer.NoKey)
 	})
 }
+
+// TestRepeatedRequestNeedsKey guards against the confirmation of a request that was carried out before, by a VM that has
+// not heard that the key was withdrawn meanwhile.
+func TestRepeatedRequestNeedsKey(t *testing.T) {
+	for _, method := range []string{"POST", "DELETE"} {
+		synctest.Test(t, func(t *testing.T) {
+			v := newProvenVM(t, "xy")
+			qt.Assert(t, v.request("x", "POST", "/q/"+jobID, false).Kind, qt.Equals, answer.Done)
+			qt.Assert(t, v.request("x", method, "/q/"+jobID, false).Kind, qt.Equals, answer.Done)
+			v.watcher.Close()
+			v.service.Put("op/config", []byte("y"))
+			time.Sleep(applyLimit)
+			qt.Check(t, v.request("x", method, "/q/"+jobID, false).Kind, qt.Equals, answer.NoKey, qt.Commentf(method))
+		})
+	}
+}
+
+// TestForbiddenNeedsProof guards against a cancellation that is forbidden by an outdated configuration: the key has come
+// to the account of the job meanwhile.
+func TestForbiddenNeedsProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newProvenVM(t, "xY")
+		qt.Assert(t, v.request("x", "POST", "/q/"+jobID, false).Kind, qt.Equals, answer.Done)
+		qt.Check(t, v.request("Y", "DELETE", "/q/"+jobID, false).Kind, qt.Equals, answer.Forbidden)
+		v.watcher.Close()
+		v.service.Put("op/config", []byte("xy"))
+		time.Sleep(applyLimit)
+		qt.Check(t, v.request("Y", "DELETE", "/q/"+jobID, false).Kind, qt.Equals, answer.Refused)
+	})
+}
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -115,7 +115,8 @@
 // commit repeats a transaction until its outcome is known or the context ends. Once one attempt has ended with an
 // unknown outcome, a refusal of a later attempt no longer proves that the transaction had no effect, so commit makes
 // further attempts. The function resolveConflict returns the answer to a conflict; its second result is false when the
-// conflict comes from a change of the configuration.
+// conflict comes from a change of the configuration. After such a change the request is handled again, since the new
+// configuration may not allow it any more, unless an earlier attempt may have been carried out before the change.
 func (i *Intake) commit(
 	ctx context.Context, c *call, t store.Transaction, resolveConflict func(*store.ConflictError) (answer.Answer, bool),
 ) answer.Answer {
@@ -129,6 +130,9 @@
 		var conflict *store.ConflictError
 		switch {
 		case errors.As(err, &conflict):
+			if !c.uncertain && i.policyChanged(c, conflict) {
+				return i.retryWithNewPolicy(ctx, c, conflict, asked)
+			}
 			if a, resolved := resolveConflict(conflict); resolved {
 				c.uncertain = false
 				return a
@@ -157,6 +161,11 @@
 	return i.store.Commit(ctx, t)
 }
 
+// policyChanged reports whether a conflict shows another configuration than the one that a request was checked against.
+func (i *Intake) policyChanged(c *call, conflict *store.ConflictError) bool {
+	return conflict.Item(i.watcher.Key()).Revision != c.snapshot.Revision
+}
+
 // retryWithNewPolicy adopts the configuration that a conflict has returned, and handles the request again with it. The
 // transaction was sent at the reading asked of the watcher's clock.
 func (i *Intake) retryWithNewPolicy(
