An answer of the store that keeps arriving is not given up

VMs behind 10 Mbit/s never got a larger configuration: a read was given up 0.5 s after it was asked for, however much had arrived, and begun anew.

An answer to a watch or a range must still begin within 0.5 s (after the wait), and may then take up to 4 s as long as something of it arrives each 0.5 s. Dead connections are noticed as early as before.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -37,8 +37,10 @@
 	// Wait is the longest time for which one watch call waits for changes.
 	// BatchDelay is the pause after each watch call. It lets several changes arrive with the next call.
 	Wait, BatchDelay time.Duration
-	// Timeout is the timeout of a call to the store. Wait is added to it for watch calls.
+	// Timeout is the time within which a call to the store must be answered. Wait is added to it for watch calls.
 	Timeout time.Duration
+	// Transfer is the time that an answer which keeps arriving may take in addition to Timeout, as on a slow link.
+	Transfer time.Duration
 	// Margin is the longest time after Wait for which a watch call may go unanswered before all items are read again; 0
 	// means Timeout. A store can leave watches unanswered for seconds and still answer reads. The time of two reads of
 	// all items is added, since the answer to a watch takes as long on a slow link.
@@ -155,7 +157,7 @@
 }
 
 func (m *Mirror) read(ctx context.Context) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.options.Timeout)
+	ctx, cancel := m.callContext(ctx, m.options.Timeout)
 	defer cancel()
 	started := time.Now()
 	page, err := m.store.Range(ctx, m.options.Prefix)
@@ -164,11 +166,19 @@
 }
 
 func (m *Mirror) watch(ctx context.Context, at store.Revision) (store.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.options.Wait+m.margin())
+	ctx, cancel := m.callContext(ctx, m.options.Wait+m.margin())
 	defer cancel()
 	return m.store.Watch(ctx, m.options.Prefix, at, m.options.Wait)
 }
 
+// callContext returns the context of a call that must be answered within the given time.
+func (m *Mirror) callContext(ctx context.Context, answer time.Duration) (context.Context, context.CancelFunc) {
+	if m.options.Transfer > 0 {
+		ctx = store.WithStallTimeout(ctx, m.options.Timeout)
+	}
+	return context.WithTimeout(ctx, answer+m.options.Transfer)
+}
+
 // margin returns the time after Options.Wait by which a watch call must be answered.
 func (m *Mirror) margin() time.Duration {
 	if m.options.Margin == 0 {
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -26,6 +26,9 @@
 	watchWait = 800 * time.Millisecond
 	// callTimeout is the timeout of a call to the store, in addition to the time that a watch waits.
 	callTimeout = 500 * time.Millisecond
+	// transferTime is the time that the store's answer may take after it has begun. A configuration of a megabyte takes a
+	// second on an idle link of 10 Mbit/s.
+	transferTime = 4 * time.Second
 	// loggedGap is the time without a proof that the configuration is the newest from which on the next one is logged.
 	loggedGap = 2 * time.Second
 )
@@ -135,7 +138,7 @@
 ) *Watcher {
 	w := &Watcher{codec: codec, clock: clock, log: log, onAdopted: onAdopted}
 	w.current.Store(&Snapshot{CurrentAt: Never})
-	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout, Clock: clock}
+	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout, Transfer: transferTime, Clock: clock}
 	w.mirror = mirror.New(s, options, log, w)
 	return w
 }
--- a/standin/memstore/faults.go
+++ b/standin/memstore/faults.go
@@ -13,6 +13,8 @@
 	Slow time.Duration
 	// LateReplies is the time that the answer to a call takes to arrive after the call was carried out.
 	LateReplies time.Duration
+	// BytesPerSecond is the bandwidth at which the values in the answers to ranges and watches arrive; 0 means no limit.
+	BytesPerSecond int
 	// PerItem is the transfer time of each item of a range, as on a slow link.
 	PerItem time.Duration
 	// WatchBytes is the maximum size of all values in one answer to a watch; a larger answer fails with
