Registrations are as old as the question for them

The leader dated the workers' registrations by when it took up an answer, and sends no start on registrations older than 1.8 s: a worker could announce that it leaves while a late answer with its earlier registration was under way.

The watch of the registrations now tells the age of what it reports, counted from when it asked. TestLateRegistrationsAreOld checks it on a store whose answers take 250 ms; before, each report counted as 0 old. io/tables was looked at, too: it dates its proofs by the question. Tests of io/rosterwatch, coordinator and site pass.

--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -16,7 +16,7 @@
 }
 
 // workersChanged carries all valid worker registrations, as last read from the store, and the last state of those that
-// were removed since. They were read at the time readAt.
+// were removed since. The store still had them at the time readAt.
 type workersChanged struct {
 	workers, removed []roster.Worker
 	readAt           time.Time
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -57,7 +57,7 @@
 	// revisions holds the store revisions of the records of jobs' progress by their keys.
 	revisions     map[string]store.Revision
 	flushInFlight bool
-	// rosterReadAt is the time at which the registrations that the planner knows were read.
+	// rosterReadAt is a time at which the store still had the registrations that the planner knows.
 	rosterReadAt time.Time
 	// history reads how registrations were removed before the first read of all registrations.
 	history *history
@@ -139,9 +139,10 @@
 	t.config.Log.Info("leadership taken over", "records", len(t.revisions), "took", time.Since(start).String(),
 		"fence", t.role.Fence)
 	t.orders = newOrders(ctx, t)
-	workers := rosterwatch.New(t.config.Store, t.config.Roster, t.config.Log, func(list, removed []roster.Worker) {
-		t.post(workersChanged{workers: list, removed: removed, readAt: time.Now()})
-	})
+	workers := rosterwatch.New(t.config.Store, t.config.Roster, t.config.Clock, t.config.Log,
+		func(list, removed []roster.Worker, age time.Duration) {
+			t.post(workersChanged{workers: list, removed: removed, readAt: time.Now().Add(-age)})
+		})
 	defer workers.Close()
 	inbox := t.followInbox(revision)
 	defer inbox.Close()
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"auburnstack/core/roster"
+	"auburnstack/io/boottime"
 	"auburnstack/io/mirror"
 	"auburnstack/io/store"
 )
@@ -41,8 +42,9 @@
 // Watcher watches the registrations while its VM leads.
 type Watcher struct {
 	codec    Codec
+	clock    boottime.Clock
 	log      hclog.Logger
-	onChange func(workers, removed []roster.Worker)
+	onChange func(workers, removed []roster.Worker, age time.Duration)
 
 	items map[string]store.Item
 	// missing holds the registrations that an outage of the store may have removed, until their grace period ends. The
@@ -63,14 +65,19 @@
 // New starts to watch the registrations. onChange is called after each read of the store, whether or not anything has
 // changed: with all valid registrations, and with the last valid state of those that were removed. A registration that
 // is missing when all are read again counts as removed after its grace period; that of a draining worker at once, but
-// it stays listed for the grace period, too.
-func New(s store.Store, codec Codec, log hclog.Logger, onChange func(workers, removed []roster.Worker)) *Watcher {
+// it stays listed for the grace period, too. The parameter age is the time since the store still had these registrations,
+// by a clock that must include the time for which the machine was suspended.
+func New(
+	s store.Store, codec Codec, clock boottime.Clock, log hclog.Logger,
+	onChange func(workers, removed []roster.Worker, age time.Duration),
+) *Watcher {
 	w := &Watcher{
-		codec: codec, log: log, onChange: onChange, items: map[string]store.Item{},
+		codec: codec, clock: clock, log: log, onChange: onChange, items: map[string]store.Item{},
 		missing: map[string]missingRegistration{}, loggedInvalid: map[string]store.Revision{},
 	}
 	options := mirror.Options{
 		Prefix: codec.Prefix(), Wait: watchWait, BatchDelay: batchDelay, Margin: watchMargin, Timeout: callTimeout,
+		Clock: clock,
 	}
 	w.mirror = mirror.New(s, options, log, w)
 	return w
@@ -82,13 +89,13 @@
 }
 
 // Replaced implements mirror.Listener. It replaces all registrations and passes the valid ones to onChange.
-func (w *Watcher) Replaced(items []store.Item, _ store.Revision, _ time.Duration) {
+func (w *Watcher) Replaced(items []store.Item, _ store.Revision, seen time.Duration) {
 	now := time.Now()
-	w.publish(now, w.replace(items, now))
+	w.publish(now, w.replace(items, now), seen)
 }
 
 // Changed implements mirror.Listener. It applies the events to the registrations and passes all valid ones to onChange.
-func (w *Watcher) Changed(events []store.Event, _ store.Revision, _ time.Duration) {
+func (w *Watcher) Changed(events []store.Event, _ store.Revision, seen time.Duration) {
 	deleted := map[string]store.Item{}
 	for _, event := range events {
 		delete(w.missing, event.Key)
@@ -106,7 +113,7 @@
 	for _, key := range slices.Sorted(maps.Keys(deleted)) {
 		removed = w.decode(removed, deleted[key])
 	}
-	w.publish(time.Now(), removed)
+	w.publish(time.Now(), removed, seen)
 }
 
 // replace replaces all registrations with the given items. Registrations that are not among the items are added to
@@ -138,8 +145,8 @@
 }
 
 // publish passes all valid registrations to onChange, those in their grace period included, sorted by name, and the
-// removed ones.
-func (w *Watcher) publish(now time.Time, removed []roster.Worker) {
+// removed ones. The store had these registrations at the reading seen of the clock.
+func (w *Watcher) publish(now time.Time, removed []roster.Worker, seen time.Duration) {
 	workers := make([]roster.Worker, 0, len(w.items))
 	for _, item := range w.items {
 		workers = w.decode(workers, item)
@@ -154,7 +161,7 @@
 		workers = w.decode(workers, registration.item)
 	}
 	sort.Slice(workers, func(i, j int) bool { return workers[i].Name < workers[j].Name })
-	w.onChange(workers, removed)
+	w.onChange(workers, removed, w.clock()-seen)
 }
 
 // expired appends the worker of a registration whose grace period has ended, unless it was reported as removed before.
--- a/io/rosterwatch/watcher_test.go
+++ b/io/rosterwatch/watcher_test.go
@@ -36,11 +36,14 @@
 	removed map[endpoint.Name]int
 	// revision is the revision of the registration last listed.
 	revision int64
+	// age is the age of the last report.
+	age time.Duration
 }
 
-func (r *recorder) onChange(workers, removed []roster.Worker) {
+func (r *recorder) onChange(workers, removed []roster.Worker, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.age = age
 	r.listed = nil
 	for i := range workers {
 		r.listed = append(r.listed, workers[i].Name)
@@ -63,6 +66,12 @@
 	return r.revision
 }
 
+func (r *recorder) lastAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.age
+}
+
 func (r *recorder) removals(name endpoint.Name) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,7 +90,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &watched{t: t, service: memstore.New(1), reported: &recorder{removed: map[endpoint.Name]int{}}}
 		w.write(state)
-		watcher := New(w.service.Client(), plainCodec{}, hclog.NewNullLogger(), w.reported.onChange)
+		started := time.Now()
+		clock := func() time.Duration { return time.Since(started) }
+		watcher := New(w.service.Client(), plainCodec{}, clock, hclog.NewNullLogger(), w.reported.onChange)
 		defer watcher.Close()
 		time.Sleep(time.Second)
 		test(w)
@@ -118,6 +129,20 @@
 	})
 }
 
+// TestLateRegistrationsAreOld guards against a start on a worker that has announced to leave while the answer with its
+// earlier registration was under way.
+func TestLateRegistrationsAreOld(t *testing.T) {
+	watch(t, roster.Ready, func(w *watched) {
+		const late = 250 * time.Millisecond
+		w.service.SetFaults(memstore.Faults{LateReplies: late})
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			w.write(roster.Ready)
+		}
+		qt.Check(t, w.reported.lastAge() >= late, qt.IsTrue, qt.Commentf("%s", w.reported.lastAge()))
+	})
+}
+
 // TestReadyWorkerMissing checks that a worker which had not announced to leave is reported as removed only after the
 // grace period.
 func TestReadyWorkerMissing(t *testing.T) {
