No start without proof that all evacuations are known

TestNoStartWithoutKnownEvacuations fails without the check (1 start instead of 0). Tests of io/policywatch, coordinator, site and of platform's settings pass.

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -34,6 +35,9 @@
 	Policy    func() *policywatch.Snapshot
 	// Clock is the clock of Policy's proofs. If it is nil, it is boottime.Now.
 	Clock boottime.Clock
+	// EvacuateLimit is the time after which nothing may start in a failure domain that the operators have taken out of
+	// service; 0 means that there is no limit.
+	EvacuateLimit time.Duration
 	// Name is the name of the VM. Upkeep orders carry it as their sender.
 	Name      vm.Name
 	Adviser   adviser.Adviser
--- a/io/coordinator/limit_test.go
+++ b/io/coordinator/limit_test.go
@@ -87,3 +87,25 @@
 		})
 	}
 }
+
+// TestNoStartWithoutKnownEvacuations guards against a start in a failure domain that was taken out of service, sent by a
+// leader that has not heard of it: nothing has proven lately that it knows all evacuations.
+func TestNoStartWithoutKnownEvacuations(t *testing.T) {
+	const limit = 5 * time.Second
+	for _, age := range []time.Duration{3 * time.Second, limit - orderTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCapacityTerm(t)
+			defer c.close()
+			c.config.EvacuateLimit = limit
+			c.config.Policy = func() *policywatch.Snapshot { return &policywatch.Snapshot{CurrentAt: age} }
+			c.config.Clock = func() time.Duration { return age }
+			c.orders.issue(c.starts[0])
+			synctest.Wait()
+			want := 1
+			if age >= limit-orderTimeout {
+				want = 0
+			}
+			qt.Check(t, c.worker.startCount(), qt.Equals, want, qt.Commentf("%s", age))
+		})
+	}
+}
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -10,6 +10,7 @@
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 	"auburnstack/core/planner"
+	"auburnstack/io/policywatch"
 	"auburnstack/io/runner"
 )
 
@@ -171,7 +172,14 @@
 	a, isStart := entry.action.(planner.Start)
 	t := o.term
 	return isStart && l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge && t.registeredRecently(l) &&
-		!t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a) && (!t.planner.Limited(a) || t.policyConfirmed())
+		t.evacuationsProven() && !t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a) && (!t.planner.Limited(a) || t.policyConfirmed())
+}
+
+// evacuationsProven reports whether the failure domains that are out were proven to be known lately enough, so that an
+// attempt to send a start that takes as long as it may still arrives within Config.EvacuateLimit of a newer one.
+func (t *term) evacuationsProven() bool {
+	limit := t.config.EvacuateLimit
+	return limit == 0 || t.config.Clock()-t.config.Policy().OperationsAt < policywatch.MaxAge(limit)-orderTimeout
 }
 
 // policyConfirmed reports whether the configuration was confirmed to be the newest within maxPolicyAge.
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -107,6 +107,8 @@
 	// CurrentAt is the latest reading of the VM's clock at which the snapshot is proven to have been the newest in the
 	// store, or Never. It is when the proof was asked for, not when it arrived.
 	CurrentAt time.Duration
+	// OperationsAt is the same for Out and Waves alone, which the operators write under other keys than the configuration.
+	OperationsAt time.Duration
 }
 
 // Watcher holds the newest known configuration and keeps it up to date.
@@ -137,7 +139,7 @@
 	s store.Store, codec Codec, clock boottime.Clock, log hclog.Logger, onAdopted func(snapshot *Snapshot, source Source),
 ) *Watcher {
 	w := &Watcher{codec: codec, clock: clock, log: log, onAdopted: onAdopted}
-	w.current.Store(&Snapshot{CurrentAt: Never})
+	w.current.Store(&Snapshot{CurrentAt: Never, OperationsAt: Never})
 	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout, Transfer: transferTime, Clock: clock}
 	w.mirror = mirror.New(s, options, log, w)
 	return w
@@ -221,7 +223,9 @@
 	if decoded == nil {
 		return
 	}
-	next := &Snapshot{Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: at}, CurrentAt: seen}
+	next := &Snapshot{
+		Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: at}, CurrentAt: seen, OperationsAt: seen,
+	}
 	if w.gap {
 		w.publishAfterGap(next, source)
 		return
@@ -292,6 +296,7 @@
 	}
 	w.adopt(&Snapshot{
 		Policy: decoded, Version: Version{Revision: item.Revision, ChangedAt: changedAt}, CurrentAt: seen,
+		OperationsAt: current.OperationsAt,
 	}, Conflict)
 }
 
@@ -343,6 +348,7 @@
 	}
 	proven := *current
 	proven.CurrentAt = other.CurrentAt
+	proven.OperationsAt = max(proven.OperationsAt, other.OperationsAt)
 	w.current.Store(&proven)
 }
 
@@ -362,5 +368,6 @@
 	}
 	proven := *current
 	proven.CurrentAt = max(proven.CurrentAt, seen)
+	proven.OperationsAt = max(proven.OperationsAt, seen)
 	w.current.Store(&proven)
 }
--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -44,6 +44,8 @@
 	valueLimit = 64 << 10
 	// applyLimit is the time within which a change of the configuration must be in force.
 	applyLimit = 2 * time.Second
+	// evacuateLimit is the time after which nothing may start in a failure domain that was taken out of service.
+	evacuateLimit = 5 * time.Second
 	// advisedQueue accepts jobs whose tasks start only with a ticket of the adviser, the service that knows on which
 	// workers they may run.
 	advisedQueue = "/advised/"
@@ -359,7 +361,7 @@
 			Policy: policyCodec{testCodec{"op/"}}, Roster: testCodec{"servers/"},
 			Jobs: jobCodec{}, Upkeep: upkeepCodec{},
 		},
-		ValueLimit: valueLimit, ApplyLimit: applyLimit,
+		ValueLimit: valueLimit, ApplyLimit: applyLimit, EvacuateLimit: evacuateLimit,
 		Planner: planner.Settings{
 			LeaseLimit: 10 * time.Second, RegistrationInterval: memworker.RegistrationInterval, StopTime: 400 * time.Millisecond,
 			RemoteFactor: 3, EarlyStart: 250 * time.Millisecond, RetainFinal: time.Hour,
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -62,6 +62,9 @@
 	ValueLimit int
 	// ApplyLimit is the time within which a change of the configuration must be in force on all VMs.
 	ApplyLimit time.Duration
+	// EvacuateLimit is the time after which nothing may start in a failure domain that was taken out of service; 0 means
+	// that there is no limit.
+	EvacuateLimit time.Duration
 	// JobMemory is the largest memory that the jobs may take if the VM leads; 0 means that there is no limit.
 	JobMemory jobmemory.Limit
 	// ElectionDelay is the time that the VM waits before it tries to become leader, so that VMs with more resources can
@@ -104,7 +107,8 @@
 	n.memory = newMemory(config.JobMemory, config.Metrics, config.Log)
 	n.coordinator = coordinator.New(coordinator.Config{
 		Store: n.store, Revisions: revisions, Dialer: config.Workers, Roster: config.Codecs.Roster, Settings: config.Planner,
-		Policy: func() *policywatch.Snapshot { return n.watcher.Current() }, Clock: config.Clock, Name: config.Name,
+		Policy: func() *policywatch.Snapshot { return n.watcher.Current() }, Clock: config.Clock,
+		EvacuateLimit: config.EvacuateLimit, Name: config.Name,
 		ValueLimit: config.ValueLimit, Memory: n.memory.account,
 		Adviser: config.Adviser, Inventory: config.Inventory, Upkeep: config.Codecs.Upkeep,
 		Metrics: coordinator.NewMetrics(config.Metrics), Log: config.Log,
--- a/io/site/policyfollower.go
+++ b/io/site/policyfollower.go
@@ -169,10 +169,15 @@
 // take adopts the configuration in a reply, or the proof that the known one is the newest. The other VM was asked at the
 // reading asked of the clock, so its proof is at least as old as it was then.
 func (f *policyFollower) take(known *policywatch.Snapshot, reply relay.PolicyReply, asked time.Duration) {
-	next := policywatch.Snapshot{Policy: reply.Policy, Version: reply.Version, CurrentAt: policywatch.Never}
+	next := policywatch.Snapshot{
+		Policy: reply.Policy, Version: reply.Version, CurrentAt: policywatch.Never, OperationsAt: policywatch.Never,
+	}
 	if reply.Proven {
 		next.CurrentAt = asked - reply.Age
 	}
+	if !reply.Version.Uncertain() {
+		next.OperationsAt = next.CurrentAt
+	}
 	if reply.Partial && reply.Policy != nil && known.Policy != nil {
 		merged := *known.Policy
 		merged.Out, merged.Waves = reply.Policy.Out, reply.Policy.Waves
