--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -191,8 +191,8 @@
 	return false
 }
 
-// SameOperations reports whether two policies agree on what operators order besides the configuration itself: the failure
-// domains that are out and the waves.
+// SameOperations reports whether two policies agree on what operators order besides the configuration itself: the
+// failure domains that are out and the waves.
 func (p *Policy) SameOperations(other *Policy) bool {
 	return slices.Equal(slices.Sorted(slices.Values(p.Out)), slices.Sorted(slices.Values(other.Out))) &&
 		slices.EqualFunc(p.Waves, other.Waves, func(a, b upkeep.Wave) bool {
--- a/io/coordinator/limit_test.go
+++ b/io/coordinator/limit_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// TestNoFirstStartAboveLoweredLimit guards against a start that waits to be sent, here because the worker has not answered,
-// and is sent although the limit of its account was lowered below what was ordered.
+// TestNoFirstStartAboveLoweredLimit guards against a start that waits to be sent, here because the worker has not
+// answered, and is sent although the limit of its account was lowered below what was ordered.
 func TestNoFirstStartAboveLoweredLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCapacityTerm(t)
@@ -47,8 +47,8 @@
 	})
 }
 
-// TestNoRepeatedStartAboveLoweredLimit guards against a start that was not answered and is sent again, and then begins a
-// run, although the limit of its account was lowered.
+// TestNoRepeatedStartAboveLoweredLimit guards against a start that was not answered and is sent again, and then begins
+// a run, although the limit of its account was lowered.
 func TestNoRepeatedStartAboveLoweredLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCapacityTerm(t)
@@ -65,8 +65,8 @@
 	})
 }
 
-// TestNoLimitedStartOnOldConfiguration guards against a leader whose configuration can't be confirmed and that starts work
-// by a limit that may have been lowered long ago. Accounts without a limit must not wait for it.
+// TestNoLimitedStartOnOldConfiguration guards against a leader whose configuration can't be confirmed and that starts
+// work by a limit that may have been lowered long ago. Accounts without a limit must not wait for it.
 func TestNoLimitedStartOnOldConfiguration(t *testing.T) {
 	for limit, sent := range map[int64]int{0: 2, 8: 0} {
 		synctest.Test(t, func(t *testing.T) {
@@ -88,8 +88,8 @@
 	}
 }
 
-// TestNoStartWithoutKnownEvacuations guards against a start in a failure domain that was taken out of service, sent by a
-// leader that has not heard of it: nothing has proven lately that it knows all evacuations.
+// TestNoStartWithoutKnownEvacuations guards against a start in a failure domain that was taken out of service, sent by
+// a leader that has not heard of it: nothing has proven lately that it knows all evacuations.
 func TestNoStartWithoutKnownEvacuations(t *testing.T) {
 	const limit = 5 * time.Second
 	for _, age := range []time.Duration{3 * time.Second, limit - orderTimeout} {
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -172,7 +172,8 @@
 	a, isStart := entry.action.(planner.Start)
 	t := o.term
 	return isStart && l.mayRenewLease() && time.Since(t.rosterReadAt) < maxRosterAge && t.registeredRecently(l) &&
-		t.evacuationsProven() && !t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a) && (!t.planner.Limited(a) || t.policyConfirmed())
+		t.evacuationsProven() && !t.planner.MayOverfill(l.info.Name) && !t.planner.OverLimit(a) &&
+		(!t.planner.Limited(a) || t.policyConfirmed())
 }
 
 // evacuationsProven reports whether the failure domains that are out were proven to be known lately enough, so that an
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -84,8 +84,8 @@
 }
 
 // New returns an intake that reads configurations from the watcher and stores jobs in the store s, whose values have at
-// most valueLimit bytes. 0 means that there is no limit. applyLimit is the time within which a change of the configuration
-// must be in force.
+// most valueLimit bytes. 0 means that there is no limit. applyLimit is the time within which a change of the
+// configuration must be in force.
 func New(
 	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, applyLimit time.Duration, valueLimit int,
 	metrics *Metrics, log hclog.Logger,
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -185,8 +185,8 @@
 	return v.intake.Handle(ctx, relay.Request{Method: method, Host: "h", Path: path, Key: key}, relayed)
 }
 
-// TestRejectionAfterLostAnswer checks that a caller is not told that its job was rejected when the answer to the store's
-// write was lost. The write has taken effect, and the job runs.
+// TestRejectionAfterLostAnswer checks that a caller is not told that its job was rejected when the answer to the
+// store's write was lost. The write has taken effect, and the job runs.
 func TestRejectionAfterLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := newVM(t, &scriptedPeer{replies: replies{answer.NoKey}})
@@ -216,8 +216,8 @@
 	})
 }
 
-// TestRefusalAfterUnknownOutcome checks that a caller is not told that its request had no effect while an attempt of any
-// VM to carry it out may still have one. It guards against a job that runs although its submission was refused.
+// TestRefusalAfterUnknownOutcome checks that a caller is not told that its request had no effect while an attempt of
+// any VM to carry it out may still have one. It guards against a job that runs although its submission was refused.
 func TestRefusalAfterUnknownOutcome(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -259,8 +259,8 @@
 	}
 }
 
-// TestJobTooLarge checks that a job that the store can't hold is rejected at once, and that a caller is not told to come
-// back with it, whether or not the VM knows the store's limit.
+// TestJobTooLarge checks that a job that the store can't hold is rejected at once, and that a caller is not told to
+// come back with it, whether or not the VM knows the store's limit.
 func TestJobTooLarge(t *testing.T) {
 	for _, test := range []struct {
 		known int
--- a/io/intake/proof_test.go
+++ b/io/intake/proof_test.go
@@ -20,8 +20,8 @@
 // applyLimit is the time within which a change of the configuration must be in force on the VMs of these tests.
 const applyLimit = 2 * time.Second
 
-// keysCodec decodes a configuration whose value lists keys, one letter each, for one queue. A small letter is a key of the
-// account "a", a capital one a key of the account "b".
+// keysCodec decodes a configuration whose value lists keys, one letter each, for one queue. A small letter is a key of
+// the account "a", a capital one a key of the account "b".
 type keysCodec struct{ codec }
 
 // Decode implements policywatch.Codec.
@@ -91,8 +91,8 @@
 	})
 }
 
-// TestRepeatedRequestNeedsKey guards against the confirmation of a request that was carried out before, by a VM that has
-// not heard that the key was withdrawn meanwhile.
+// TestRepeatedRequestNeedsKey guards against the confirmation of a request that was carried out before, by a VM that
+// has not heard that the key was withdrawn meanwhile.
 func TestRepeatedRequestNeedsKey(t *testing.T) {
 	for _, method := range []string{"POST", "DELETE"} {
 		synctest.Test(t, func(t *testing.T) {
@@ -107,8 +107,8 @@
 	}
 }
 
-// TestForbiddenNeedsProof guards against a cancellation that is forbidden by an outdated configuration: the key has come
-// to the account of the job meanwhile.
+// TestForbiddenNeedsProof guards against a cancellation that is forbidden by an outdated configuration: the key has
+// come to the account of the job meanwhile.
 func TestForbiddenNeedsProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := newProvenVM(t, "xY")
--- a/io/intake/relay.go
+++ b/io/intake/relay.go
@@ -47,7 +47,8 @@
 }
 
 // relayUntilProven relays a request that this VM's configuration can't decide, as it may be outdated. If no VM gives a
-// final answer, relayUntilProven waits for a proof for a while, and then handles the request by the proven configuration.
+// final answer, relayUntilProven waits for a proof for a while, and then handles the request by the proven
+// configuration.
 func (i *Intake) relayUntilProven(ctx context.Context, c *call) answer.Answer {
 	outdated := i.refusal("the configuration may be outdated")
 	a := i.relayOrFallback(ctx, c, outdated)
@@ -116,8 +117,8 @@
 	}
 }
 
-// superseded reports whether another VM has answered a caller since a snapshot was last proven to be the newest, perhaps
-// according to a newer one.
+// superseded reports whether another VM has answered a caller since a snapshot was last proven to be the newest,
+// perhaps according to a newer one.
 func (i *Intake) superseded(snapshot *policywatch.Snapshot) bool {
 	return int64(snapshot.CurrentAt) < i.lastRelayed.Load()
 }
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -17,8 +17,8 @@
 // retryPause is the pause after a failed call.
 const retryPause = 150 * time.Millisecond
 
-// Listener receives the items and their changes. All its methods are called by the same goroutine. The parameter seen is
-// a reading of Options.Clock at which the store still had the state that the listener now knows. An answer shows the
+// Listener receives the items and their changes. All its methods are called by the same goroutine. The parameter seen
+// is a reading of Options.Clock at which the store still had the state that the listener now knows. An answer shows the
 // state at the time it was asked for; when it arrives, the state may be another.
 type Listener interface {
 	// Replaced receives all items under the prefix, read at a revision. They replace all items received before.
--- a/io/policywatch/missed_test.go
+++ b/io/policywatch/missed_test.go
@@ -21,8 +21,8 @@
 	return w
 }
 
-// TestValidConfigurationBeforeInvalid guards against a valid configuration being passed over because the same call of the
-// watch has returned an invalid one after it.
+// TestValidConfigurationBeforeInvalid guards against a valid configuration being passed over because the same call of
+// the watch has returned an invalid one after it.
 func TestValidConfigurationBeforeInvalid(t *testing.T) {
 	w := newStrictWatcher()
 	w.Changed([]store.Event{
@@ -34,8 +34,8 @@
 }
 
 // TestMissedConfiguration guards against a VM that has missed a valid configuration, sees the invalid one after it and
-// keeps the policy before both: this policy must not replace that of VMs that have seen all, but be replaced by it, also
-// if the VM has read all keys again later. Changes of the other keys must apply all the same.
+// keeps the policy before both: this policy must not replace that of VMs that have seen all, but be replaced by it,
+// also if the VM has read all keys again later. Changes of the other keys must apply all the same.
 func TestMissedConfiguration(t *testing.T) {
 	invalid := store.Item{Key: "op/config", Revision: 7, Value: []byte("invalid")}
 	seen := newStrictWatcher()
--- a/io/policywatch/slowlink_test.go
+++ b/io/policywatch/slowlink_test.go
@@ -16,9 +16,9 @@
 // linkBytesPerSecond is the bandwidth of a link of 10 Mbit/s for values in Base64.
 const linkBytesPerSecond = 10_000_000 / 8 * 3 / 4
 
-// TestLargeConfigurationOnSlowLink guards against a VM behind a slow link that never gets to read a large configuration,
-// because it gives up each answer while it still arrives, whether it watches or, after the store has dropped its
-// history, reads all keys again.
+// TestLargeConfigurationOnSlowLink guards against a VM behind a slow link that never gets to read a large
+// configuration, because it gives up each answer while it still arrives, whether it watches or, after the store has
+// dropped its history, reads all keys again.
 func TestLargeConfigurationOnSlowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		service := memstore.New(1)
--- a/io/policywatch/watcher.go
+++ b/io/policywatch/watcher.go
@@ -40,8 +40,8 @@
 // clocks that run slower.
 const maxAgeShare = 0.95
 
-// MaxAge returns the largest age of a proof that a configuration is the newest with which a VM may answer by it, if a change
-// must be in force within the time applyLimit after it was acknowledged.
+// MaxAge returns the largest age of a proof that a configuration is the newest with which a VM may answer by it, if a
+// change must be in force within the time applyLimit after it was acknowledged.
 func MaxAge(applyLimit time.Duration) time.Duration {
 	return time.Duration(float64(applyLimit) * maxAgeShare)
 }
@@ -133,14 +133,16 @@
 	gap bool
 }
 
-// New starts to watch the configuration. onAdopted is called after each adoption of a newer configuration. The clock must
-// include the time for which the machine was suspended.
+// New starts to watch the configuration. onAdopted is called after each adoption of a newer configuration. The clock
+// must include the time for which the machine was suspended.
 func New(
 	s store.Store, codec Codec, clock boottime.Clock, log hclog.Logger, onAdopted func(snapshot *Snapshot, source Source),
 ) *Watcher {
 	w := &Watcher{codec: codec, clock: clock, log: log, onAdopted: onAdopted}
 	w.current.Store(&Snapshot{CurrentAt: Never, OperationsAt: Never})
-	options := mirror.Options{Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout, Transfer: transferTime, Clock: clock}
+	options := mirror.Options{
+		Prefix: codec.Prefix(), Wait: watchWait, Timeout: callTimeout, Transfer: transferTime, Clock: clock,
+	}
 	w.mirror = mirror.New(s, options, log, w)
 	return w
 }
@@ -277,9 +279,9 @@
 	}
 }
 
-// AdoptItem adopts a configuration that a call other than the watch has returned, if it is newer. The store had the item
-// at the reading seen of the clock. The parts that the operators write under other keys, Out and Waves, are kept from the
-// current configuration.
+// AdoptItem adopts a configuration that a call other than the watch has returned, if it is newer. The store had the
+// item at the reading seen of the clock. The parts that the operators write under other keys, Out and Waves, are kept
+// from the current configuration.
 func (w *Watcher) AdoptItem(item store.Item, seen time.Duration) {
 	current := w.current.Load()
 	if item.Key != w.codec.Key() || item.Revision <= current.Revision {
@@ -337,8 +339,8 @@
 	}
 }
 
-// takeProof takes over the proof of another snapshot if that snapshot identifies the current configuration and its proof
-// is later.
+// takeProof takes over the proof of another snapshot if that snapshot identifies the current configuration and its
+// proof is later.
 func (w *Watcher) takeProof(other *Snapshot) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/relay/bounds_test.go
+++ b/io/relay/bounds_test.go
@@ -227,8 +227,8 @@
 // Configuration implements relay.Handler.
 func (h policyHandler) Configuration(relay.PolicyRequest) relay.PolicyReply { return h.reply }
 
-// TestLargeConfiguration asks for the configuration of a large site. It guards against bounds that reject it, and checks
-// that the reply arrives as it was sent.
+// TestLargeConfiguration asks for the configuration of a large site. It guards against bounds that reject it, and
+// checks that the reply arrives as it was sent.
 func TestLargeConfiguration(t *testing.T) {
 	reply := relay.PolicyReply{
 		Policy: &policy.Policy{}, Version: policywatch.Version{Revision: 7, ChangedAt: 9}, Age: time.Second, Proven: true,
--- a/io/rosterwatch/watcher.go
+++ b/io/rosterwatch/watcher.go
@@ -65,8 +65,8 @@
 // New starts to watch the registrations. onChange is called after each read of the store, whether or not anything has
 // changed: with all valid registrations, and with the last valid state of those that were removed. A registration that
 // is missing when all are read again counts as removed after its grace period; that of a draining worker at once, but
-// it stays listed for the grace period, too. The parameter age is the time since the store still had these registrations,
-// by a clock that must include the time for which the machine was suspended.
+// it stays listed for the grace period, too. The parameter age is the time since the store still had these
+// registrations, by a clock that must include the time for which the machine was suspended.
 func New(
 	s store.Store, codec Codec, clock boottime.Clock, log hclog.Logger,
 	onChange func(workers, removed []roster.Worker, age time.Duration),
--- a/io/rosterwatch/watcher_test.go
+++ b/io/rosterwatch/watcher_test.go
@@ -116,8 +116,8 @@
 	time.Sleep(time.Second)
 }
 
-// TestRemovedInHistoryGap guards against a worker that leaves while the watch has lost its history and is never reported
-// as removed: its runs waited for its whole lease. The worker stays listed, as its registration may come back.
+// TestRemovedInHistoryGap guards against a worker that leaves while the watch has lost its history and is never
+// reported as removed: its runs waited for its whole lease. The worker stays listed, as its registration may come back.
 func TestRemovedInHistoryGap(t *testing.T) {
 	watch(t, roster.Draining, func(w *watched) {
 		w.loseHistory(w.remove)
--- a/io/site/introduce.go
+++ b/io/site/introduce.go
@@ -32,7 +32,8 @@
 func (n *Node) introduceTo(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	reply, err := n.config.Peers.Peer(address).Exchange(ctx, relay.Heartbeat{Sender: n.self, Policy: n.watcher.Current().Version})
+	introduction := relay.Heartbeat{Sender: n.self, Policy: n.watcher.Current().Version}
+	reply, err := n.config.Peers.Peer(address).Exchange(ctx, introduction)
 	if err != nil {
 		n.config.Log.Debug("introduction to another VM failed", "address", address.String(), "error", err.Error())
 		return
--- a/io/site/members.go
+++ b/io/site/members.go
@@ -224,8 +224,8 @@
 }
 
 // relayAddresses lists the addresses to relay a request to, in the order in which to try them: the address of
-// lastLeader, the address of leaderHint, the other members in a random order, the seeds. It returns at most maxRelays addresses. A VM
-// that reaches neither the store nor a leader introduces itself to the same addresses.
+// lastLeader, the address of leaderHint, the other members in a random order, the seeds. It returns at most maxRelays
+// addresses. A VM that reaches neither the store nor a leader introduces itself to the same addresses.
 func (m *members) relayAddresses() []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -184,7 +184,8 @@
 // other VMs.
 func (n *Node) policyAdopted(snapshot *policywatch.Snapshot, source policywatch.Source) {
 	n.config.Log.Info("configuration adopted", "version", snapshot.Policy.Version, "revision", snapshot.Revision,
-		"changedAt", snapshot.ChangedAt, "source", source, "age", n.watcher.Age(snapshot).String(), "queues", len(snapshot.Policy.Queues), "out", len(snapshot.Policy.Out))
+		"changedAt", snapshot.ChangedAt, "source", source, "age", n.watcher.Age(snapshot).String(),
+		"queues", len(snapshot.Policy.Queues), "out", len(snapshot.Policy.Out))
 	for _, mistake := range snapshot.Policy.Unread {
 		n.config.Log.Error("invalid part of the configuration skipped",
 			"version", snapshot.Policy.Version, "error", mistake)
@@ -196,8 +197,8 @@
 	n.members.requestAnnouncement()
 }
 
-// Exchange implements relay.Handler. It processes a heartbeat, and replies with the version of this VM's configuration and
-// the latest known leader.
+// Exchange implements relay.Handler. It processes a heartbeat, and replies with the version of this VM's configuration
+// and the latest known leader.
 func (n *Node) Exchange(h relay.Heartbeat) relay.HeartbeatReply {
 	n.follower.announced(h.Sender.Address, h.Policy)
 	if n.members.handleHeartbeat(h) {
@@ -215,8 +216,8 @@
 	return reply
 }
 
-// Configuration implements relay.Handler. It returns the version of this VM's configuration and its content as far as the other
-// VM lacks it and wants it.
+// Configuration implements relay.Handler. It returns the version of this VM's configuration and its content as far as
+// the other VM lacks it and wants it.
 func (n *Node) Configuration(request relay.PolicyRequest) relay.PolicyReply {
 	current := n.watcher.Current()
 	reply := relay.PolicyReply{
--- a/io/site/policyfollower.go
+++ b/io/site/policyfollower.go
@@ -30,8 +30,8 @@
 	randomSources = 2
 )
 
-// policyFollower asks other VMs for their configuration: a VM that has announced a newer one, and any VMs as long as the
-// store does not prove which one is the newest.
+// policyFollower asks other VMs for their configuration: a VM that has announced a newer one, and any VMs as long as
+// the store does not prove which one is the newest.
 type policyFollower struct {
 	node *Node
 	// maxAge is the largest age of a proof with which the VM may answer by its configuration.
@@ -157,7 +157,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	known, asked := f.node.watcher.Current(), f.node.watcher.Now()
-	reply, err := f.node.config.Peers.Peer(address).Configuration(ctx, relay.PolicyRequest{Known: known.Version, Content: content})
+	request := relay.PolicyRequest{Known: known.Version, Content: content}
+	reply, err := f.node.config.Peers.Peer(address).Configuration(ctx, request)
 	if err != nil {
 		f.node.config.Log.Debug("asking for the configuration failed", "address", address.String(), "error", err.Error())
 		return policywatch.Version{}
@@ -166,8 +167,8 @@
 	return reply.Version
 }
 
-// take adopts the configuration in a reply, or the proof that the known one is the newest. The other VM was asked at the
-// reading asked of the clock, so its proof is at least as old as it was then.
+// take adopts the configuration in a reply, or the proof that the known one is the newest. The other VM was asked at
+// the reading asked of the clock, so its proof is at least as old as it was then.
 func (f *policyFollower) take(known *policywatch.Snapshot, reply relay.PolicyReply, asked time.Duration) {
 	next := policywatch.Snapshot{
 		Policy: reply.Policy, Version: reply.Version, CurrentAt: policywatch.Never, OperationsAt: policywatch.Never,
--- a/io/site/spread_test.go
+++ b/io/site/spread_test.go
@@ -165,8 +165,8 @@
 	})
 }
 
-// TestRefusedVMFindsOthers kills the VMs that a refused VM would turn to first: the leader and the next ones in the order
-// of names. It guards against a VM that relays its callers' requests to VMs that are gone, as long as it runs.
+// TestRefusedVMFindsOthers kills the VMs that a refused VM would turn to first: the leader and the next ones in the
+// order of names. It guards against a VM that relays its callers' requests to VMs that are gone, as long as it runs.
 func TestRefusedVMFindsOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 10, 10, 4)
@@ -215,9 +215,9 @@
 	return time.Since(start)
 }
 
-// TestHistoryLostByAll makes the store drop its history while a change is made, so that all VMs read all keys again, each
-// at another revision. It guards against VMs that take each other's readings of the same configuration for newer ones,
-// and send them to each other.
+// TestHistoryLostByAll makes the store drop its history while a change is made, so that all VMs read all keys again,
+// each at another revision. It guards against VMs that take each other's readings of the same configuration for newer
+// ones, and send them to each other.
 func TestHistoryLostByAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const vms = 40
--- a/io/store/stall.go
+++ b/io/store/stall.go
@@ -9,8 +9,8 @@
 type stallKey struct{}
 
 // WithStallTimeout returns a context with which Range and Watch fail with ErrUnanswered when nothing of the answer has
-// arrived for the given time, in addition to the time that a watch waits. An answer that keeps arriving may take until the
-// context's deadline, as on a slow link.
+// arrived for the given time, in addition to the time that a watch waits. An answer that keeps arriving may take until
+// the context's deadline, as on a slow link.
 func WithStallTimeout(ctx context.Context, timeout time.Duration) context.Context {
 	return context.WithValue(ctx, stallKey{}, timeout)
 }
--- a/standin/memstore/client.go
+++ b/standin/memstore/client.go
@@ -13,8 +13,8 @@
 
 // Client implements store.Store with calls to a Service, the simulated key-value service. Faults can be set for one
 // client or for the service, and each call is subject to both: Down and Refuse apply if they are set in either, the
-// delays Slow, LateReplies and PerItem are added, the client's BytesPerSecond goes before that of the service, and the larger one of the two values of WatchBytes, LoseReplies and LateWrites
-// applies.
+// delays Slow, LateReplies and PerItem are added, the client's BytesPerSecond goes before that of the service, and the
+// larger one of the two values of WatchBytes, LoseReplies and LateWrites applies.
 type Client struct {
 	service *Service
 
@@ -104,8 +104,8 @@
 	return err
 }
 
-// delayReply delays the reply to a call that was carried out, and whose values have the given number of bytes. It returns
-// an error if the call's context ends first, or if nothing arrives for the context's stall timeout.
+// delayReply delays the reply to a call that was carried out, and whose values have the given number of bytes. It
+// returns an error if the call's context ends first, or if nothing arrives for the context's stall timeout.
 func (c *Client) delayReply(ctx context.Context, bytes int) error {
 	f := c.currentFaults()
 	if f.LateReplies > store.StallTimeout(ctx, time.Hour) {
