--- a/standin/memstore/client.go
+++ b/standin/memstore/client.go
@@ -62,14 +62,7 @@
 	if f.Down {
 		return c.stall(ctx)
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
-	case <-timer.C:
-		return nil
-	}
+	return pause(ctx, delay)
 }
 
 // write carries out a change. If a fault delays the change or loses its reply, write waits until the context ends and
@@ -118,14 +111,7 @@
 	if delay == 0 {
 		return nil
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
-	case <-timer.C:
-		return nil
-	}
+	return pause(ctx, delay)
 }
 
 // Get implements store.Store.
@@ -195,6 +181,18 @@
 	}
 }
 
+// pause waits for the given time. It returns ErrUnanswered if the context ends first.
+func pause(ctx context.Context, delay time.Duration) error {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.WithMessage(store.ErrUnanswered, ctx.Err().Error())
+	case <-timer.C:
+		return nil
+	}
+}
+
 // pageBytes returns the total size of the items' values.
 func pageBytes(page store.Page) int {
 	total := 0
