Review, case 10: work is placed for good on a worker whose start time has gone back

Cause: core/planner/observe.go ignores the reports of a worker whose incarnation is lower than an earlier one, and no start is sent to it, but tasks are still placed there and its lease is renewed. Test: review/10/run.sh: one of twelve workers goes down and up twice, with a time of day that was 2 s ahead in between.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -134,19 +134,19 @@
 	return verdict{reason: "no upkeep ended a task that had to stay"}, nil
 }
 
-// playEarlierStart lets a worker crash twice within a second, as a flapping one does. Its machine's time of day is 2 s ahead
+// playEarlierStart lets one of twelve workers go down and up twice, by turns. Its machine's time of day is 2 s ahead
 // from before the first of these starts until before the second one. Then the worker works on without any fault.
 func playEarlierStart(s *site, trouble bool) (verdict, error) {
 	const (
+		workers = 12
 		ahead   = 2 * time.Second
-		down    = 500 * time.Millisecond
-		up      = time.Second
-		tasks   = 24
+		period  = 1400 * time.Millisecond
+		tasks   = 8 * workers
 		path    = "/assay/00000000000000b1"
 		watched = 30 * time.Second
 	)
 	s.configure(map[string]any{"name": "assay", "priority": 0})
-	if err := s.newFleet(3); err != nil {
+	if err := s.newFleet(workers); err != nil {
 		return verdict{}, err
 	}
 	if err := s.startVMs(3); err != nil {
@@ -159,7 +159,7 @@
 		m.front.set(nil)
 		m.worker.Crash()
 		s.log.Add("%s is down", m.worker.id)
-		time.Sleep(down)
+		time.Sleep(period / 2)
 		timeOfDay := time.Now()
 		if trouble && life == 0 {
 			timeOfDay = timeOfDay.Add(ahead)
@@ -170,7 +170,7 @@
 		s.addWorker(m.front, old.address, m.worker)
 		s.log.Add("%s is up, born %d", m.worker.id, m.worker.born)
 		if life == 0 {
-			time.Sleep(up)
+			time.Sleep(period / 2)
 		}
 	}
 	time.Sleep(settle)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -62,8 +63,8 @@
 		fmt.Println("broken:", found.reason)
 		return exitBroken
 	default:
-		log.Add("held: %s", found.reason)
-		fmt.Println("held:", found.reason)
+		log.Add("held: %s", strings.TrimPrefix(found.reason, "LOST: "))
+		fmt.Println("held:", strings.TrimPrefix(found.reason, "LOST: "))
 		return exitHeld
 	}
 }
