--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -190,17 +191,13 @@
 	return verdict{broken: state != "complete" && idle >= unused, reason: reason}, nil
 }
 
-// playUpperCase hands in two jobs whose IDs, of 16 hexadecimal digits each, differ only in the case of their letters. Without
-// the disruption the IDs differ in a digit.
-func playUpperCase(s *site, trouble bool) (verdict, error) {
+// playCapitals hands in jobs whose IDs, of 16 hexadecimal digits each, have capital letters: one alone, and one that differs
+// only by them from the ID of another job. Without the disruption all letters are small, and the IDs differ in a digit.
+func playCapitals(s *site, trouble bool) (verdict, error) {
 	s.configure(map[string]any{"name": "assay", "priority": 0})
 	if err := s.newFleet(3); err != nil {
 		return verdict{}, err
 	}
-	if err := s.startVMs(3); err != nil {
-		return verdict{}, err
-	}
-	time.Sleep(settle)
 	var mu sync.Mutex
 	started := map[string]bool{}
 	for _, m := range s.cloud.machines {
@@ -213,9 +210,13 @@
 		}
 		m.worker.mu.Unlock()
 	}
-	ids := []string{"5c0e7a21d94b36f8", "5c0e7a21d94b36f9"}
+	if err := s.startVMs(3); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(settle)
+	ids := []string{"a0b1c2d3e4f56789", "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"}
 	if trouble {
-		ids[1] = strings.ToUpper(ids[0])
+		ids[0], ids[2] = strings.ToUpper(ids[0]), strings.ToUpper(ids[1])
 	}
 	for _, id := range ids {
 		if !s.submit("/assay/"+id, "refiner-key", job("work=1000", map[string]any{
@@ -224,18 +225,29 @@
 			return verdict{}, errors.New("a job was not accepted")
 		}
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(8 * time.Second)
+	states := map[string]string{}
 	for _, id := range ids {
-		s.state("/assay/"+id, "refiner-key")
+		states[id] = s.state("/assay/"+id, "refiner-key")
 	}
 	mu.Lock()
 	defer mu.Unlock()
+	var found []string
+	for id := range started {
+		if states[id] == "" {
+			found = append(found, "UNASKED: workers were told to start tasks of "+id+", which no client sent")
+		}
+	}
 	for _, id := range ids {
-		if !started[id] {
-			return verdict{broken: true, reason: "LOST: the accepted job " + id + " was never started"}, nil
+		if !started[id] && states[id] == "complete" {
+			found = append(found, "MIXED: the job "+id+" is shown as complete, and no task of this name was ever started")
 		}
 	}
-	return verdict{reason: "both jobs were started"}, nil
+	if len(found) > 0 {
+		sort.Strings(found)
+		return verdict{broken: true, reason: strings.Join(found, "; ")}, nil
+	}
+	return verdict{reason: "all jobs were started by their names"}, nil
 }
 
 // playFlappingWorkers lets four of forty workers go down and up by turns, each once, while a gang that needs all of the
