Review: the stand-ins end all processes when they are told to stop

Cause: a case that was stopped by a signal left the VMs' processes running. Test: SIGTERM to review/9/run.sh in its first seconds; no process of the case is left.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -49,6 +51,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		s.Close()
+		os.Exit(exitNotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.Add("case %s, with the disruption: %t", os.Args[1], trouble)
 	found, err := cases[os.Args[1]](s, trouble)
