--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -154,7 +154,7 @@
 		return verdict{}, err
 	}
 	time.Sleep(settle)
-	use := watchUse(s)
+	use := watchUse(s, "")
 	m := s.cloud.machines[0]
 	for life := range 2 {
 		m.front.set(nil)
@@ -330,7 +330,7 @@
 	if err := s.newFleet(4); err != nil {
 		return verdict{}, err
 	}
-	use := watchUse(s)
+	use := watchUse(s, "")
 	if err := s.startVMs(3); err != nil {
 		return verdict{}, err
 	}
@@ -354,3 +354,51 @@
 		starts, finish+watched, finish, idle, state)
 	return verdict{broken: state != "complete" && idle >= unused, reason: reason}, nil
 }
+
+// playLargeBurst hands in many jobs with many small tasks at once, and then one job of a single task of priority 0. The
+// tasks of all jobs together need a quarter of the workers. Without the disruption there is one of the large jobs.
+func playLargeBurst(s *site, trouble bool) (verdict, error) {
+	const (
+		workers  = 24
+		tasks    = 1300
+		burst    = 64
+		urgentID = "00000000000000e1"
+		urgent   = "/urgent/" + urgentID
+		watched  = 60 * time.Second
+	)
+	s.configure(map[string]any{"name": "urgent", "priority": 0}, map[string]any{"name": "batch", "priority": 2})
+	if err := s.newFleet(workers); err != nil {
+		return verdict{}, err
+	}
+	use := watchUse(s, urgentID)
+	if err := s.startVMs(3); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(settle)
+	jobs := burst
+	if !trouble {
+		jobs = 1
+	}
+	for i := range jobs {
+		if !s.submit(fmt.Sprintf("/batch/%016x", i+1), "refiner-key", job("work=300000", map[string]any{
+			"count": tasks, "cpu": 10, "memMb": 10, "estimateMs": 300000,
+		})) {
+			return verdict{}, errors.New("a large job was not accepted")
+		}
+	}
+	s.log.Add("%d jobs of %d tasks are accepted", jobs, tasks)
+	if !s.submit(urgent, "desk-key", job("work=300000", map[string]any{
+		"count": 1, "cpu": 4000, "memMb": 1000, "gpu": 1, "estimateMs": 300000,
+	})) {
+		return verdict{}, errors.New("the urgent job was not accepted")
+	}
+	s.log.Add("the traffic ends")
+	time.Sleep(finish)
+	use.begin()
+	time.Sleep(watched)
+	state := s.state(urgent, "desk-key")
+	idle, starts := use.result()
+	reason := fmt.Sprintf("LOST: after %d jobs of %d tasks, the job of one task of priority 0 has begun %d times on %d workers within %s, and had nothing running for %s from %s after the traffic on; it is shown as %q",
+		jobs, tasks, starts, workers, finish+watched, idle, finish, state)
+	return verdict{broken: state != "complete" && idle >= unused, reason: reason}, nil
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -34,7 +34,7 @@
 func run() int {
 	cases := map[string]play{
 		"foreign-cancel": playForeignCancel, "upkeep-handover": playUpkeepHandover, "earlier-start": playEarlierStart,
-		"capitals": playCapitals, "long-task": playLongTask, "flapping-workers": playFlappingWorkers,
+		"capitals": playCapitals, "large-burst": playLargeBurst, "long-task": playLongTask, "flapping-workers": playFlappingWorkers,
 	}
 	const arguments = 4
 	if len(os.Args) != arguments || cases[os.Args[1]] == nil {
--- a/review/rig/use.go
+++ b/review/rig/use.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,6 +16,9 @@
 // use tells for how long nothing has run at a time. The cases that ask have one job, which leaves over half of the
 // capacity unused.
 type use struct {
+	// job is the ID of the job whose runs count; empty if all do.
+	job string
+
 	mu              sync.Mutex
 	running, starts int
 	// since is when the present idle span began. It counts from the call of begin on.
@@ -23,9 +27,9 @@
 	counts  bool
 }
 
-// watchUse watches the runs on all workers of a site.
-func watchUse(s *site) *use {
-	u := &use{since: time.Now()}
+// watchUse watches the runs of a job on all workers of a site, or of all jobs if it is empty.
+func watchUse(s *site, job string) *use {
+	u := &use{job: job, since: time.Now()}
 	for _, m := range s.cloud.machines {
 		u.watch(m.worker)
 	}
@@ -36,14 +40,20 @@
 func (u *use) watch(w *worker) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.onStart = func(*taskRun) {
+	w.onStart = func(r *taskRun) {
+		if !strings.HasPrefix(r.task, u.job) {
+			return
+		}
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		u.endSpan()
 		u.running++
 		u.starts++
 	}
-	w.onEnd = func(*taskRun, string) {
+	w.onEnd = func(r *taskRun, _ string) {
+		if !strings.HasPrefix(r.task, u.job) {
+			return
+		}
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		u.running--
