--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -166,10 +166,10 @@
 			timeOfDay = timeOfDay.Add(ahead)
 		}
 		old := m.worker
-		m.worker = newWorker(old.id, old.zone, old.rack, old.gpus, timeOfDay.UnixMilli(), s)
+		m.worker = newWorker(old.id, old.zone, old.rack, old.gpus, timeOfDay, s)
 		use.watch(m.worker)
 		s.addWorker(m.front, old.address, m.worker)
-		s.log.Add("%s is up, born %d", m.worker.id, m.worker.born)
+		s.log.Add("%s is up, born %d", m.worker.id, m.worker.born.UnixMilli())
 		if life == 0 {
 			time.Sleep(period / 2)
 		}
@@ -298,10 +298,10 @@
 		s.log.Add("%s is down", m.worker.id)
 		time.Sleep(period / 2)
 		old := m.worker
-		m.worker = newWorker(old.id, old.zone, old.rack, old.gpus, time.Now().UnixMilli(), s)
+		m.worker = newWorker(old.id, old.zone, old.rack, old.gpus, time.Now(), s)
 		m.worker.onEnd = count
 		s.addWorker(m.front, old.address, m.worker)
-		s.log.Add("%s is up, born %d", m.worker.id, m.worker.born)
+		s.log.Add("%s is up, born %d", m.worker.id, m.worker.born.UnixMilli())
 	}
 	s.log.Add("all workers stay up from now on")
 	state := ""
--- a/review/rig/cloud.go
+++ b/review/rig/cloud.go
@@ -132,7 +132,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		m.lives++
-		next := newWorker(fmt.Sprintf("%s-life-%d", m.id, m.lives), old.zone, old.rack, old.gpus, time.Now().UnixMilli(), c.site)
+		next := newWorker(fmt.Sprintf("%s-life-%d", m.id, m.lives), old.zone, old.rack, old.gpus, time.Now(), c.site)
 		next.onStart, next.onEnd = old.onStart, old.onEnd
 		m.worker = next
 		delete(c.states, m.id)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -88,7 +88,7 @@
 		}
 		m := &machine{id: fmt.Sprintf("m-%d", i+1), front: f}
 		m.worker = newWorker(fmt.Sprintf("w-%d", i+1), fmt.Sprintf("zone-%d", i%3), fmt.Sprintf("r-%d", i+1), 8,
-			time.Now().UnixMilli(), s)
+			time.Now(), s)
 		s.cloud.machines = append(s.cloud.machines, m)
 		s.addWorker(f, address, m.worker)
 	}
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,17 +53,22 @@
 
 // vm is an entry VM, with its process.
 type vm struct {
-	site           *site
-	name, zone, ip string
-	settings       string
-	output         *os.File
-	command        *exec.Cmd
-	ended          chan struct{}
+	site       *site
+	name, zone string
+	ip         netip.Addr
+	settings   string
+	output     *os.File
+	command    *exec.Cmd
+	ended      chan struct{}
 }
 
+// at returns the address of the VM with a port.
+func (v *vm) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(v.ip, port) }
+
+// The ports of each VM. Every VM has its own IP address.
 const (
 	frontPort, readyPort, controlPort = 8521, 8523, 8526
-	firstPort, lastPort               = 7000, 7015
+	firstPort                         = 7000
 )
 
 // newSite returns a site without workers and VMs. root is the folder of the repository.
@@ -77,15 +83,15 @@
 }
 
 // listen serves a handler on a free port of 127.0.0.1 and returns its address.
-func (s *site) listen(handler http.Handler) (string, error) {
+func (s *site) listen(handler http.Handler) (netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return netip.AddrPort{}, err
 	}
 	server := &http.Server{Handler: handler}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
+	return netip.ParseAddrPort(listener.Addr().String())
 }
 
 // front is the handler at the address of a worker: of the life that is there, if any.
@@ -112,7 +118,7 @@
 }
 
 // addWorker starts a worker behind a front.
-func (s *site) addWorker(f *front, address string, w *worker) {
+func (s *site) addWorker(f *front, address netip.AddrPort, w *worker) {
 	w.address = address
 	s.mu.Lock()
 	s.workers = append(s.workers, w)
@@ -161,15 +167,15 @@
 	var seeds []string
 	for i := range count {
 		v := &vm{site: s, name: fmt.Sprintf("edge-%d", i), zone: fmt.Sprintf("zone-%d", i)}
-		v.ip = fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250, 1+i)
+		v.ip = netip.AddrFrom4([4]byte{127, byte(20 + os.Getpid()%200), byte(1 + os.Getpid()/200%250), byte(1 + i)})
 		s.vms = append(s.vms, v)
-		seeds = append(seeds, fmt.Sprintf("%s:%d", v.ip, controlPort))
+		seeds = append(seeds, v.at(controlPort).String())
 	}
 	for _, v := range s.vms {
 		values := map[string]any{
-			"nodeName": v.name, "zone": v.zone, "bindAddresses.front": fmt.Sprintf("%s:%d", v.ip, frontPort),
-			"bindAddresses.ready":        fmt.Sprintf("%s:%d", v.ip, readyPort),
-			"bindAddresses.controlPlane": fmt.Sprintf("%s:%d", v.ip, controlPort), "portRange.0": firstPort,
+			"nodeName": v.name, "zone": v.zone, "bindAddresses.front": v.at(frontPort),
+			"bindAddresses.ready":        v.at(readyPort),
+			"bindAddresses.controlPlane": v.at(controlPort), "portRange.0": firstPort,
 			"limits.linkMbps": 1000.0, "limits.cpuShare": 0.4, "limits.memoryMb": 284, "limits.maxFds": 4100,
 			"bounds.graceS": 6, "seeds": strings.Join(seeds[:min(len(seeds), 3)], ","), "platform.address": storeAddress,
 			"platform.valueBytes": 1048576, "bounds.configApplyMs": 2000, "bounds.evacuateMs": 5000, "advice": "",
@@ -205,7 +211,7 @@
 	const limit = 15 * time.Second
 	for _, v := range s.vms {
 		for begin := time.Now(); ; time.Sleep(50 * time.Millisecond) {
-			response, err := http.Get(fmt.Sprintf("http://%s:%d/readyz", v.ip, readyPort))
+			response, err := http.Get(fmt.Sprintf("http://%s/readyz", v.at(readyPort)))
 			if err == nil {
 				_ = response.Body.Close()
 				if response.StatusCode == http.StatusOK {
@@ -296,7 +302,7 @@
 		}
 		content = bytes.NewReader(text)
 	}
-	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", v.ip, frontPort, path), content)
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s%s", v.at(frontPort), path), content)
 	if err != nil {
 		panic(err)
 	}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -111,9 +112,10 @@
 
 // worker is a stand-in for one life of a worker.
 type worker struct {
-	id, address, zone, rack string
-	// born is what the worker says of its start, in Unix milliseconds. started is when its steady clock began.
-	born    int64
+	id, zone, rack string
+	address        netip.AddrPort
+	// born is what the worker says of its start, to the millisecond. started is when its steady clock began.
+	born    time.Time
 	started time.Time
 	gpus    int64
 	store   *store
@@ -137,7 +139,7 @@
 	onEnd   func(r *taskRun, how string)
 }
 
-func newWorker(id, zone, rack string, gpus, born int64, s *site) *worker {
+func newWorker(id, zone, rack string, gpus int64, born time.Time, s *site) *worker {
 	return &worker{
 		id: id, zone: zone, rack: rack, gpus: gpus, born: born, started: time.Now().Add(-time.Second), store: s.store, log: s.log, gangs: s.gangs,
 		runs: map[string]*taskRun{}, finished: map[string]int64{}, changed: make(chan struct{}), closed: make(chan struct{}),
@@ -197,9 +199,9 @@
 	w.mu.Lock()
 	w.sequence++
 	body := map[string]any{
-		"service": "svc", "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
+		"service": "svc", "address": w.address.String(), "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
 		"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": 128000, "memMb": 524288, "gpu": w.gpus},
-		"labels": []string{"a", w.rack}, "clockMs": w.clock(), "sequence": w.sequence, "born": w.born,
+		"labels": []string{"a", w.rack}, "clockMs": w.clock(), "sequence": w.sequence, "born": w.born.UnixMilli(),
 	}
 	w.mu.Unlock()
 	w.store.Put("servers/"+w.id, body)
@@ -300,7 +302,7 @@
 }
 
 func (w *worker) answer(rw http.ResponseWriter, status int, body map[string]any) {
-	body["clockMs"], body["born"] = w.clock(), w.born
+	body["clockMs"], body["born"] = w.clock(), w.born.UnixMilli()
 	reply(rw, status, body)
 }
 
@@ -324,7 +326,7 @@
 	began.gang = w.gangs.join(o.Task, o.RunID, o.Spec)
 	w.runs[o.Task] = began
 	w.onStart(began)
-	w.log.Add("worker %s (born %d): started %s run %d, fencing token %d", w.id, w.born, o.Task, o.RunID, o.FencingToken)
+	w.log.Add("worker %s (born %d): started %s run %d, fencing token %d", w.id, w.born.UnixMilli(), o.Task, o.RunID, o.FencingToken)
 	w.answer(rw, http.StatusOK, map[string]any{})
 }
 
@@ -372,7 +374,7 @@
 	w.answer(rw, http.StatusOK, map[string]any{"active": active, "endedRuns": ended})
 }
 
-// AtWork returns the run of a task that lasts, if it is at work on the worker.
+// AtWork returns the tasks that last and are at work on the worker.
 func (w *worker) AtWork() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -384,5 +386,3 @@
 	}
 	return tasks
 }
-
-func (w *worker) String() string { return fmt.Sprintf("%s at %s", w.id, w.address) }
