--- a/core/graph/progress.go
+++ b/core/graph/progress.go
@@ -63,17 +63,20 @@
 	// reports the run again.
 	FailedRun Run  `json:",omitempty"`
 	Done      bool `json:",omitempty"`
-	// Crashes is the number of workers that may have crashed because they started the unit. UnambiguousCrashes is the
-	// number of those that no other cause is likely for.
+	// Crashes is the number of workers that may have crashed because they started the task. UnambiguousCrashes is the
+	// number of those that no other cause is likely for. Both are 0 for a gang, as are ExcusedCrashes and CrashedRun.
 	Crashes            int `json:",omitempty"`
 	UnambiguousCrashes int `json:",omitempty"`
-	// ExcusedCrashes is the number of workers that have crashed while they ran the unit, by chance or because of another
-	// unit. They are not among Crashes.
+	// ExcusedCrashes is the number of workers that have crashed while they ran the task, by chance or because of another
+	// task. They are not among Crashes.
 	ExcusedCrashes int `json:",omitempty"`
-	// CrashAge is the greatest age of a counted run when its worker crashed.
-	CrashAge time.Duration `json:",omitempty"`
 	// CrashedRun is the last run counted in Crashes. Each run counts once.
 	CrashedRun Run `json:",omitempty"`
+	// TaskCrashes counts the crashes under those tasks of a gang under which workers have crashed. Each task is in one
+	// entry at most.
+	TaskCrashes []TaskCrashes `json:",omitempty"`
+	// CrashAge is the greatest age of a counted run when its worker crashed.
+	CrashAge time.Duration `json:",omitempty"`
 	// Workers lists the workers on which the tasks of the newest run were placed, in the order of the tasks' indexes.
 	// It is empty if no task of that run can still be running.
 	Workers []endpoint.Name `json:",omitempty"`
@@ -83,3 +86,20 @@
 	// Checkpoint is the newest known checkpoint; empty if there is none.
 	Checkpoint string `json:",omitempty"`
 }
+
+// TaskCrashes counts the crashes of workers under tasks of a gang that have the same counts. One entry for all of them
+// keeps the record small if many workers crash at once.
+type TaskCrashes struct {
+	// Indexes lists the tasks by their indexes in the gang.
+	Indexes []int
+	CrashCounts
+}
+
+// CrashCounts counts the crashes of workers under a task.
+type CrashCounts struct {
+	// Crashes, UnambiguousCrashes, ExcusedCrashes and CrashedRun are as in UnitProgress.
+	Crashes            int `json:",omitempty"`
+	UnambiguousCrashes int `json:",omitempty"`
+	ExcusedCrashes     int `json:",omitempty"`
+	CrashedRun         Run `json:",omitempty"`
+}
--- a/core/jobtrace/cause.go
+++ b/core/jobtrace/cause.go
@@ -15,8 +15,8 @@
 	}
 	switch ended.Fields["state"] {
 	case "Failed":
-		if lastLine(lines, "job given up") != nil {
-			return fmt.Sprintf("%s: %s", ended.Fields["reason"], crashes(lines))
+		if givenUp := lastLine(lines, "job given up"); givenUp != nil {
+			return fmt.Sprintf("%s: %s", ended.Fields["reason"], crashes(lines, givenUp.Fields["task"]))
 		}
 		return fmt.Sprintf("%s: %s", ended.Fields["reason"], failedRuns(lines))
 	case "Canceled":
@@ -99,12 +99,11 @@
 	return strings.Join(runs, ", ")
 }
 
-// crashes lists the runs that may have crashed their workers, with the evidence.
-func crashes(lines []Line) string {
+// crashes lists the runs of a task that may have crashed their workers, with the evidence.
+func crashes(lines []Line, task string) string {
 	var runs []string
 	for i := range lines {
-		if lines[i].Message == "crash attributed" {
-			fields := lines[i].Fields
+		if fields := lines[i].Fields; lines[i].Message == "crash attributed" && fields["task"] == task {
 			runs = append(runs, fmt.Sprintf("%s run %s on %s (%s after the start, %s)",
 				fields["task"], fields["run"], fields["worker"], fields["after"], fields["evidence"]))
 		}
--- a/core/planner/background.go
+++ b/core/planner/background.go
@@ -45,7 +45,7 @@
 func (p *Planner) isChance(run lostRun, crashed time.Time, silent []*worker) bool {
 	site := float64(len(p.workers))
 	least := min(minOtherCrashes, site/2)
-	limit := min(max(chanceLimit*site/float64(run.unit.size()), least), maxOtherCrashes)
+	limit := min(max(chanceLimit*site, least), maxOtherCrashes)
 	from, to := crashed.Add(-run.Age-crashSpan), crashed.Add(crashSpan)
 	during := func(t time.Time) bool { return !t.Before(from) && !t.After(to) }
 	count := 0.0
--- a/core/planner/crash.go
+++ b/core/planner/crash.go
@@ -99,21 +99,21 @@
 	return mostSuspected(append(suspected, confirmed...)), false
 }
 
-// mostSuspected returns the runs of those units under which most workers have crashed before, or all runs if none of
-// the units is strongly suspected yet.
+// mostSuspected returns the runs of those tasks under which most workers have crashed before, or all runs if none of
+// the tasks is strongly suspected yet.
 func mostSuspected(runs []lostRun) []lostRun {
 	most := 0
 	for _, run := range runs {
-		most = max(most, run.unit.crashes)
+		most = max(most, run.crashes().Crashes)
 	}
 	if most < strongSuspicion {
 		return runs
 	}
-	return slices.DeleteFunc(runs, func(run lostRun) bool { return run.unit.crashes < most })
+	return slices.DeleteFunc(runs, func(run lostRun) bool { return run.crashes().Crashes < most })
 }
 
 // excused returns the runs that are not suspected although the start of no unit explains the crash of their worker: it
-// may be chance, or another unit is suspected more.
+// may be chance, or another task is suspected more.
 func excused(runs []lostRun) []lostRun {
 	suspected, explained := suspects(runs)
 	if explained {
@@ -224,7 +224,7 @@
 		return
 	}
 	m.confirmed = true
-	if m.unit.crashes+m.unit.excusedCrashes > 0 && m.unit.survived(now) {
+	if len(m.unit.crashes) > 0 && m.unit.survived(now) {
 		p.acquit(m.unit)
 	}
 }
@@ -247,77 +247,72 @@
 	return true
 }
 
-// suspect counts a crash against the unit of a run, and reports whether it did. Each run counts once, on however many
-// workers it ran.
+// suspect counts a crash against the task of a run, and reports whether it did.
 func (p *Planner) suspect(run lostRun, w *worker, unambiguous bool) bool {
 	u := run.unit
 	if !u.lost(run) {
 		return false
 	}
-	u.crashes++
+	c := run.crashes()
+	c.Crashes++
 	if unambiguous {
-		u.unambiguousCrashes++
+		c.UnambiguousCrashes++
 	}
+	u.setCrashes(c)
 	if u.isolated() {
 		p.suspected[u] = struct{}{}
 	}
 	p.markDirty(u.part)
 	p.report(CrashAttributed{
 		Task: run.Task, Run: run.Run, Worker: w.Name, Age: run.Age, Unambiguous: unambiguous,
-		Crashes: u.crashes, UnambiguousCrashes: u.unambiguousCrashes,
+		Crashes: c.Crashes, UnambiguousCrashes: c.UnambiguousCrashes,
 	})
 	return true
 }
 
-// excuse counts a crash for the unit of a run although the unit is not suspected.
+// excuse counts a crash for the task of a run although the task is not suspected.
 func (p *Planner) excuse(run lostRun) {
-	if run.unit.lost(run) {
-		run.unit.excusedCrashes++
-		p.markDirty(run.unit.part)
+	u := run.unit
+	if !u.lost(run) {
+		return
 	}
+	c := run.crashes()
+	c.ExcusedCrashes++
+	u.setCrashes(c)
+	p.markDirty(u.part)
 }
 
-// lost records that a run was lost in a crash. It returns false if that is known already, or if the unit has ended.
+// lost records that a run of a task was lost in a crash. It returns false if that is known already, or if the unit has
+// ended.
 func (u *unit) lost(run lostRun) bool {
-	if u.phase == finished || u.job.state.Final() || run.Run <= u.crashedRun {
+	c := run.crashes()
+	if u.phase == finished || u.job.state.Final() || run.Run <= c.CrashedRun {
 		return false
 	}
-	u.crashedRun = run.Run
+	c.CrashedRun = run.Run
+	u.setCrashes(c)
 	u.crashAge = max(u.crashAge, run.Age)
+	u.excuseOthers(run.Run)
 	return true
 }
 
 // acquit discards the crashes that were counted for a unit.
 func (p *Planner) acquit(u *unit) {
-	u.crashes, u.unambiguousCrashes, u.excusedCrashes, u.crashAge = 0, 0, 0, 0
+	u.crashes, u.crashAge = nil, 0
 	delete(p.suspected, u)
 	p.markDirty(u.part)
 }
 
-const (
-	// maxUnambiguousCrashes is the number of unambiguous crashes after which a unit is given up.
-	maxUnambiguousCrashes = 2
-	// maxCrashes is the number of crashes, ambiguous or not, after which a unit is given up.
-	maxCrashes = 4
-	// maxLosses is the number of crashes after which a unit is given up even if it was not suspected of some of them:
-	// tasks of several jobs that crash their workers excuse each other.
-	maxLosses = 5
-)
-
-// deadly reports whether a unit crashes the workers that start it.
-func (u *unit) deadly() bool {
-	return u.unambiguousCrashes >= maxUnambiguousCrashes || u.crashes >= maxCrashes ||
-		u.crashes+u.excusedCrashes >= maxLosses
-}
-
 // giveUpDeadly ends the jobs of those of the given units that crash the workers that start them.
 func (p *Planner) giveUpDeadly(units []*unit, now time.Time) {
 	for _, u := range units {
-		if !u.deadly() || u.job.state.Final() {
+		c, found := u.deadlyTask()
+		if !found || u.job.state.Final() {
 			continue
 		}
 		p.report(JobGivenUp{
-			Task: u.task(0), Crashes: u.crashes, UnambiguousCrashes: u.unambiguousCrashes, ExcusedCrashes: u.excusedCrashes,
+			Task: u.task(c.index), Crashes: c.Crashes, UnambiguousCrashes: c.UnambiguousCrashes,
+			ExcusedCrashes: c.ExcusedCrashes,
 		})
 		p.end(u.job, graph.Failed, "a task has crashed the workers that started it", JobFailed, now)
 	}
--- a/core/planner/crash_test.go
+++ b/core/planner/crash_test.go
@@ -36,6 +36,7 @@
 func (w *simulatedSite) crash(name endpoint.Name) {
 	for id, start := range w.running[name] {
 		count(w.crashes, w.unit(id), start.Run)
+		count(w.taskCrashes, id, start.Run)
 	}
 	clear(w.running[name])
 	w.silent[name] = true
@@ -93,17 +94,23 @@
 		}
 	}
 	for id := range w.jobs {
-		if state, _ := w.planner.State(id); state == graph.Failed && w.mostCrashes(id) < minCrashes {
-			w.t.Fatalf("%s was given up after %d crashes", id, w.mostCrashes(id))
+		if state, _ := w.planner.State(id); state != graph.Failed {
+			continue
+		}
+		if most := mostCrashes(w.crashes, id); most < minCrashes {
+			w.t.Fatalf("%s was given up after %d crashes", id, most)
+		}
+		if most := mostCrashes(w.taskCrashes, id); most < maxUnambiguousCrashes {
+			w.t.Fatalf("%s was given up after %d crashes under one of its tasks", id, most)
 		}
 	}
 }
 
-// mostCrashes returns the number of crashes under that unit of a job under which most workers have crashed.
-func (w *simulatedSite) mostCrashes(id graph.ID) int {
+// mostCrashes returns the number of crashes under that unit or task of a job under which most workers have crashed.
+func mostCrashes(crashes map[graph.TaskID]map[graph.Run]bool, id graph.ID) int {
 	most := 0
-	for unit, runs := range w.crashes {
-		if unit.Job == id {
+	for counted, runs := range crashes {
+		if counted.Job == id {
 			most = max(most, len(runs))
 		}
 	}
@@ -154,7 +161,7 @@
 		w.runBesideDeadly(1)
 		for id := range w.jobs {
 			if state, _ := w.planner.State(id); state == graph.Failed && !w.deadly[id] {
-				rt.Fatalf("%s was given up after %d crashes", id, w.mostCrashes(id))
+				rt.Fatalf("%s was given up after %d crashes", id, mostCrashes(w.crashes, id))
 			}
 		}
 	})
@@ -238,6 +245,30 @@
 	qt.Check(t, old, qt.DeepEquals, graph.UnitProgress{Run: 3, Failures: 1})
 }
 
+// TestCrashesOfGangAreStored checks that the crashes under each task of a gang are part of its job's stored progress, and
+// that those that an earlier build has counted for the whole gang count for none of its tasks.
+// Guards against BUDGET across a change of leader, and against LOST: a gang was given up for crashes under different tasks.
+func TestCrashesOfGangAreStored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	job := &graph.Job{ID: "job", Queue: "long", Accepted: now, Steps: []graph.Step{{Tasks: 4, Gang: true}}}
+	unit := graph.UnitProgress{Run: 4, CrashAge: 4 * time.Second, TaskCrashes: []graph.TaskCrashes{
+		{Indexes: []int{0, 2}, CrashCounts: graph.CrashCounts{Crashes: 1, CrashedRun: 3}},
+		{Indexes: []int{3}, CrashCounts: graph.CrashCounts{Crashes: 2, UnambiguousCrashes: 1, ExcusedCrashes: 2, CrashedRun: 4}},
+	}}
+	text, err := json.Marshal(graph.Progress{ID: "job", State: graph.Queued, Units: []graph.UnitProgress{unit}})
+	qt.Assert(t, err, qt.IsNil)
+	var read graph.Progress
+	qt.Assert(t, json.Unmarshal(text, &read), qt.IsNil)
+	p := New(testSettings(), testPolicy())
+	p.Restore(job, read, now)
+	qt.Check(t, p.jobs["job"].wholeProgress().Units[0], qt.DeepEquals, unit)
+
+	old := graph.UnitProgress{Run: 4, Crashes: 3, UnambiguousCrashes: 1, CrashedRun: 3}
+	p = New(testSettings(), testPolicy())
+	p.Restore(job, graph.Progress{ID: "job", State: graph.Queued, Units: []graph.UnitProgress{old}}, now)
+	qt.Check(t, p.jobs["job"].units[0][0][0].mostCrashes(), qt.Equals, 0)
+}
+
 // TestExpiredLeaseIsNoCrash cuts off a worker until its lease has expired. The lost run counts as a crash only if the
 // worker turns out to have restarted, or if its registration is gone and it does not come back, and only as an
 // ambiguous one.
@@ -279,8 +310,8 @@
 			u := p.jobs["job"].units[0][0][0]
 			qt.Assert(t, u.phase, qt.Equals, waiting)
 			p.Observe(Observation{Worker: test.back, Incarnation: test.incarnation, Sent: now}, now)
-			qt.Check(t, u.crashes, qt.Equals, test.crashes)
-			qt.Check(t, u.unambiguousCrashes, qt.Equals, 0)
+			qt.Check(t, u.crashesUnder(0).Crashes, qt.Equals, test.crashes)
+			qt.Check(t, u.crashesUnder(0).UnambiguousCrashes, qt.Equals, 0)
 		})
 	}
 }
@@ -329,8 +360,8 @@
 			second.Observe(Observation{Worker: w.Name, Incarnation: 2, Sent: now}, now)
 			u := second.jobs["job"].units[0][0][0]
 			qt.Check(t, u.phase, qt.Equals, waiting)
-			qt.Check(t, u.crashes, qt.Equals, 1)
-			qt.Check(t, u.unambiguousCrashes, qt.Equals, 0)
+			qt.Check(t, u.crashesUnder(0).Crashes, qt.Equals, 1)
+			qt.Check(t, u.crashesUnder(0).UnambiguousCrashes, qt.Equals, 0)
 		})
 	}
 }
@@ -345,7 +376,8 @@
 	late := lostRun{unit: &unit{index: 5}, LostRun: LostRun{Confirmed: true, Age: 4 * time.Second}}
 	chance := lostRun{unit: &unit{index: 6}, chance: true, LostRun: LostRun{Confirmed: true, Age: 4 * time.Second}}
 	youngChance := lostRun{unit: &unit{index: 7}, chance: true, LostRun: young.LostRun}
-	again := lostRun{unit: &unit{index: 8, crashes: strongSuspicion}, LostRun: late.LostRun}
+	suspectedTask := &unit{index: 8, crashes: []taskCrashes{{CrashCounts: graph.CrashCounts{Crashes: strongSuspicion}}}}
+	again := lostRun{unit: suspectedTask, LostRun: LostRun{Task: graph.TaskID{Index: 8}, Confirmed: true, Age: late.Age}}
 	prompt := lostRun{unit: &unit{index: 3}, LostRun: LostRun{Age: 10 * time.Millisecond}}
 	unconfirmed := lostRun{unit: &unit{index: 4}, LostRun: LostRun{Age: 1300 * time.Millisecond}}
 	for _, test := range []struct {
--- a/core/planner/crashevidence_test.go
+++ b/core/planner/crashevidence_test.go
@@ -1,12 +1,14 @@
 package planner
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
 	"auburnstack/core/roster"
 )
@@ -54,7 +56,7 @@
 	s.after(11 * time.Second)
 	s.report(1)
 	s.report(2)
-	qt.Check(t, s.unit().crashes, qt.Equals, 0)
+	qt.Check(t, s.unit().crashesUnder(0).Crashes, qt.Equals, 0)
 }
 
 // TestCrashUnderAnotherName lets a worker come back under another name, at its address, after its lease has expired.
@@ -66,7 +68,7 @@
 	back := s.worker
 	back.Name, back.Incarnation = "back", 2
 	s.planner.SetWorkers([]roster.Worker{back}, s.now)
-	qt.Check(t, s.unit().crashes, qt.Equals, 1)
+	qt.Check(t, s.unit().crashesUnder(0).Crashes, qt.Equals, 1)
 }
 
 // TestStartAfterSilenceIsNoCrash stores a placement only after its worker has fallen silent.
@@ -75,7 +77,7 @@
 	s := newCrashSite(t)
 	s.planner.Unanswered("w", s.now.Add(-time.Millisecond))
 	s.report(2)
-	qt.Check(t, s.unit().crashes, qt.Equals, 0)
+	qt.Check(t, s.unit().crashesUnder(0).Crashes, qt.Equals, 0)
 }
 
 // TestReportOfYoungRunConfirmsNothing has a report that lists a run and was sent just before the run crashed its worker.
@@ -88,5 +90,32 @@
 	s.planner.Unanswered("w", s.now.Add(5*time.Millisecond))
 	s.after(3 * time.Second)
 	s.report(2)
-	qt.Check(t, s.unit().unambiguousCrashes, qt.Equals, 1)
+	qt.Check(t, s.unit().crashesUnder(0).UnambiguousCrashes, qt.Equals, 1)
+}
+
+// TestChanceDoesNotDependOnGang has three of 40 other workers crash during a run of a task, which is no chance yet.
+// Guards against BUDGET: a task of a gang that crashes its workers was excused more easily than one outside a gang.
+func TestChanceDoesNotDependOnGang(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprint("gang ", gang), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := New(testSettings(), testPolicy())
+			var workers []roster.Worker
+			for i := range 40 {
+				workers = append(workers, roster.Worker{
+					Name: endpoint.Name(fmt.Sprint("w", i)), Service: "assay", Incarnation: 1,
+				})
+			}
+			p.SetWorkers(workers, now)
+			steps := []graph.Step{{Tasks: 8, Gang: gang}}
+			p.Submit(&graph.Job{ID: "job", Queue: "long", Accepted: now, Steps: steps}, now)
+			run := lostRun{unit: p.jobs["job"].units[0][0][0], LostRun: LostRun{Age: 4 * time.Second, Confirmed: true}}
+			for len(p.unexplained) < 3 {
+				p.unexplained = append(p.unexplained, crash{at: now})
+			}
+			qt.Check(t, p.isChance(run, now, nil), qt.IsFalse)
+			p.unexplained = append(p.unexplained, crash{at: now})
+			qt.Check(t, p.isChance(run, now, nil), qt.IsTrue)
+		})
+	}
 }
--- a/core/planner/expired.go
+++ b/core/planner/expired.go
@@ -72,13 +72,14 @@
 func (p *Planner) retract(expired []expiredRun, name endpoint.Name, incarnation roster.Incarnation) []lostRun {
 	var lost []lostRun
 	for _, run := range expired {
-		u := run.unit
-		switch {
-		case run.worker != name || incarnation == 0 || incarnation > run.incarnation:
+		if run.worker != name || incarnation == 0 || incarnation > run.incarnation {
 			lost = append(lost, run.lostRun)
-		case run.counted && u.crashedRun == run.Run && u.crashes > 0:
-			u.crashes--
-			p.markDirty(u.part)
+			continue
+		}
+		if c := run.crashes(); run.counted && c.CrashedRun == run.Run && c.Crashes > 0 {
+			c.Crashes--
+			run.unit.setCrashes(c)
+			p.markDirty(run.unit.part)
 		}
 	}
 	return lost
--- a/core/planner/finding.go
+++ b/core/planner/finding.go
@@ -42,17 +42,17 @@
 	Age time.Duration
 	// Unambiguous is set if nothing but this start is likely to have crashed the worker.
 	Unambiguous bool
-	// Crashes is the number of crashes that count against the task or its gang, UnambiguousCrashes that of the
-	// unambiguous ones among them.
+	// Crashes is the number of crashes that count against the task, UnambiguousCrashes that of the unambiguous ones among
+	// them.
 	Crashes, UnambiguousCrashes int
 }
 
 // JobGivenUp reports that a job was ended because one of its tasks crashes the workers that start it.
 type JobGivenUp struct {
-	// Task is the task, or the first task of the gang.
+	// Task is the task under which the workers have crashed.
 	Task                        graph.TaskID
 	Crashes, UnambiguousCrashes int
-	// ExcusedCrashes is the number of crashes that chance or another unit may explain. They are not among Crashes.
+	// ExcusedCrashes is the number of crashes that chance or another task may explain. They are not among Crashes.
 	ExcusedCrashes int
 }
 
--- a/core/planner/group.go
+++ b/core/planner/group.go
@@ -22,7 +22,7 @@
 func (u *unit) interchangeable() bool {
 	step := u.spec()
 	return !step.Gang && !step.SameRack && step.DataRack == "" && !step.Fills && len(u.avoidedWorkers) == 0 &&
-		u.crashes == 0
+		u.mostCrashes() == 0
 }
 
 // placeGroup places as many units of a group as possible in one search, because a separate search for each unit would
--- a/core/planner/isolation.go
+++ b/core/planner/isolation.go
@@ -17,7 +17,8 @@
 
 // isolated reports whether a unit is isolated because workers may have crashed under it.
 func (u *unit) isolated() bool {
-	return u.crashes > 0 && u.crashAge < survivalAge || u.crashes >= lateCrashes
+	most := u.mostCrashes()
+	return most > 0 && u.crashAge < survivalAge || most >= lateCrashes
 }
 
 // startsApart reports whether the isolation of suspected units allows a unit to start on a worker. A suspected unit is
@@ -52,7 +53,7 @@
 	case patient:
 		return !p.isSuspected(u) && !p.isSuspected(starting)
 	case p.isSuspected(u):
-		return !p.isSuspected(starting) || max(u.crashes, starting.crashes) < strongSuspicion
+		return !p.isSuspected(starting) || max(u.mostCrashes(), starting.mostCrashes()) < strongSuspicion
 	default:
 		return !p.isSuspected(starting)
 	}
--- a/core/planner/part_test.go
+++ b/core/planner/part_test.go
@@ -94,8 +94,8 @@
 			units, largest := 0, 0
 			for _, part := range p.jobs["5c0e7a21d94b36f8"].parts {
 				for _, u := range part.units {
-					u.run, u.failures, u.failedRun, u.crashedRun = 1e6, 4, 1e6, 1e6
-					u.crashes, u.unambiguousCrashes, u.excusedCrashes, u.crashAge = 4, 2, 5, time.Minute
+					u.run, u.failures, u.failedRun, u.crashAge = 1e6, 4, 1e6, time.Minute
+					u.setCrashes(mostCrashCounts(0))
 					u.newestIncarnation, u.checkpoint = 1764921600000, strings.Repeat("c", 64)
 				}
 				record := part.progress()
@@ -110,6 +110,37 @@
 	}
 }
 
+// TestGangRecordStaysSmall guards against a record that outgrows the store: workers have crashed under all tasks of the
+// largest gang as often as they can, in different runs.
+func TestGangRecordStaysSmall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := plannerOnLargeWorkers(now)
+	job := manyTasks(now, 1, 1, graph.MaxTasks)
+	job.Steps[0].Gang = true
+	p.Submit(job, now)
+	now = now.Add(time.Minute)
+	settle(p, now)
+	part := p.jobs[job.ID].parts[0]
+	u := part.units[0]
+	u.run, u.checkpoint = 1e6, strings.Repeat("c", 64)
+	for task := range graph.MaxTasks {
+		c := mostCrashCounts(task)
+		c.CrashedRun -= graph.Run(task % 32)
+		u.setCrashes(c)
+	}
+	value, err := json.Marshal(part.progress())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, u.members, qt.HasLen, graph.MaxTasks)
+	qt.Check(t, len(value) < maxRecordBytes, qt.IsTrue, qt.Commentf("%d bytes", len(value)))
+}
+
+// mostCrashCounts returns the largest counts that a task can have, with the newest run that was counted.
+func mostCrashCounts(task int) taskCrashes {
+	return taskCrashes{index: task, CrashCounts: graph.CrashCounts{
+		Crashes: 4, UnambiguousCrashes: 2, ExcusedCrashes: 5, CrashedRun: 1e6,
+	}}
+}
+
 // TestPartsAreStoredInTurn checks that each part is stored although others change all the time, and that ends are
 // acknowledged only when all changes before them are stored.
 func TestPartsAreStoredInTurn(t *testing.T) {
--- a/core/planner/property_test.go
+++ b/core/planner/property_test.go
@@ -39,13 +39,14 @@
 	// deadly holds the jobs whose tasks crash the workers that start them. They do so deadlyDelay after their start.
 	// crashAt holds the time at which the newest run of each of these tasks crashes its worker. downUntil holds the time
 	// at which each crashed worker starts again. starts counts the start orders of each unit, crashes those lost in a
-	// crash, caused those that crashed their worker some time after their start.
+	// crash, taskCrashes the same for each task, caused those that crashed their worker some time after their start.
 	deadly          map[graph.ID]bool
 	deadlyDelay     time.Duration
 	crashAt         map[graph.TaskID]time.Time
 	downUntil       map[endpoint.Name]time.Time
 	starts, crashes map[graph.TaskID]map[graph.Run]bool
 	caused          map[graph.TaskID]map[graph.Run]bool
+	taskCrashes     map[graph.TaskID]map[graph.Run]bool
 	// advancing is set if the reported progress of the tasks changes every half second. Otherwise they are stalled.
 	advancing bool
 	// shrunk holds the changes of capacity that the workers have not registered yet.
@@ -71,7 +72,7 @@
 		done: map[graph.TaskID]bool{}, jobs: map[graph.ID]*graph.Job{}, stored: map[graph.ID]storedParts{},
 		deadly: map[graph.ID]bool{}, downUntil: map[endpoint.Name]time.Time{}, starts: map[graph.TaskID]map[graph.Run]bool{},
 		crashes: map[graph.TaskID]map[graph.Run]bool{}, caused: map[graph.TaskID]map[graph.Run]bool{}, crashAt: map[graph.TaskID]time.Time{},
-		shrunk: map[endpoint.Name]resources.Amounts{},
+		shrunk: map[endpoint.Name]resources.Amounts{}, taskCrashes: map[graph.TaskID]map[graph.Run]bool{},
 	}
 	w.settings = testSettings()
 	w.settings.LearnSpeeds = rapid.Bool().Draw(t, "learn speeds")
--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -55,8 +55,7 @@
 	}
 	u.run, u.checkpoint = record.Run, record.Checkpoint
 	u.failures, u.failedRun = record.Failures, record.FailedRun
-	u.crashes, u.unambiguousCrashes, u.crashedRun = record.Crashes, record.UnambiguousCrashes, record.CrashedRun
-	u.excusedCrashes, u.crashAge = record.ExcusedCrashes, record.CrashAge
+	u.restoreCrashes(&record)
 	if u.isolated() {
 		p.suspected[u] = struct{}{}
 	}
--- a/core/planner/round.go
+++ b/core/planner/round.go
@@ -172,7 +172,7 @@
 // failures, on crashes and on the adviser's answers.
 func (p *Planner) demandFor(r *round, u *unit) demand {
 	d := p.commonDemand(r, u)
-	if u.spec().SpreadLimit > 0 || len(u.avoidedWorkers) > 0 || u.crashes > 0 || u.advised() {
+	if u.spec().SpreadLimit > 0 || len(u.avoidedWorkers) > 0 || u.mostCrashes() > 0 || u.advised() {
 		d.unit = u
 	}
 	return d
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -45,14 +45,11 @@
 	// failedRun is the last run that was counted in failures.
 	failedRun  graph.Run
 	checkpoint string
-	// crashes is the number of workers that may have crashed because they started the unit, since a run last cleared
-	// the unit. unambiguousCrashes is the number of those that no other cause is likely for. crashAge is the greatest
-	// age of the runs that were counted, crashedRun the last of them. excusedCrashes counts the crashes of workers that
-	// ran the unit for which it is not suspected; they are not among crashes.
-	crashes, unambiguousCrashes int
-	excusedCrashes              int
-	crashAge                    time.Duration
-	crashedRun                  graph.Run
+	// crashes counts the crashes of workers under the unit's tasks since a run last cleared the unit. It holds the tasks
+	// under which a worker has crashed, each once, sorted by index. crashAge is the greatest age of the runs that were
+	// counted.
+	crashes  []taskCrashes
+	crashAge time.Duration
 	// newestIncarnation is the newest incarnation among the workers of the newest run when the run was placed.
 	newestIncarnation roster.Incarnation
 	// members holds the tasks of the newest run by index. It is empty while the unit is blocked or waiting.
@@ -128,9 +125,9 @@
 	record := graph.UnitProgress{
 		Occurrence: u.occurrence, Step: u.step, Index: u.index, Run: u.run,
 		Failures: u.failures, FailedRun: u.failedRun,
-		Crashes: u.crashes, UnambiguousCrashes: u.unambiguousCrashes, ExcusedCrashes: u.excusedCrashes, CrashAge: u.crashAge,
-		CrashedRun: u.crashedRun, Done: u.phase == finished, Checkpoint: u.checkpoint,
+		CrashAge: u.crashAge, Done: u.phase == finished, Checkpoint: u.checkpoint,
 	}
+	u.recordCrashes(&record)
 	if u.phase == recording || u.phase == running || u.phase == ending {
 		for _, m := range u.members {
 			record.Workers = append(record.Workers, m.worker.Name)
--- a/io/site/trouble_test.go
+++ b/io/site/trouble_test.go
@@ -25,6 +25,11 @@
 	announcedStay = 3 * time.Second
 	// smallWork is the work of the tasks of which many end at the same time.
 	smallWork = 3 * time.Second
+	// gangTasks is the number of tasks of the gang under which workers crash, gangWork their work. runBeforeCrash is the
+	// time from the gang's start to a crash.
+	gangTasks      = 8
+	gangWork       = 4 * time.Second
+	runBeforeCrash = 700 * time.Millisecond
 )
 
 // fullCapacity is the capacity of a worker unless a fault has changed it to smallCapacity.
@@ -47,6 +52,8 @@
 	// deadly holds the jobs with tasks that crash their workers.
 	// innocent holds the other jobs, which must finish.
 	deadly, innocent []graph.ID
+	// gang is the gang under which workers crash for reasons of their own.
+	gang graph.ID
 	// draining is the worker that has announced that it will leave.
 	draining endpoint.Name
 }
@@ -143,6 +150,20 @@
 		f.leaveDuring(memstore.Faults{Down: true}, f.seconds(words[1]))
 	case "leave-store-slow":
 		f.leaveDuring(memstore.Faults{Slow: 240 * time.Millisecond}, f.seconds(words[1]))
+	default:
+		return f.injectGang(words)
+	}
+	return true
+}
+
+// injectGang carries out the faults of a gang whose workers crash for reasons of their own. It returns false if the fault
+// is of another kind.
+func (f *fleet) injectGang(words []string) bool {
+	switch words[0] {
+	case "gang":
+		f.submitGang()
+	case "crash-under":
+		f.crashUnder(f.number(words[1]))
 	default:
 		return false
 	}
@@ -155,6 +176,29 @@
 	f.troubled.deadly = append(f.troubled.deadly, f.submit(batchQueue, steps, plan))
 }
 
+// submitGang submits a gang that needs a worker for each of its tasks and crashes none of them.
+func (f *fleet) submitGang() {
+	steps := oneStep(gangTasks, true, 1)
+	steps[0].Estimate, steps[0].SpreadLimit = gangWork, 1
+	f.troubled.gang = f.submit(batchQueue, steps, memworker.Plan{Work: gangWork, Gang: gangTasks})
+	f.troubled.innocent = append(f.troubled.innocent, f.troubled.gang)
+}
+
+// crashUnder waits until the gang runs and crashes the worker of one of its tasks, which is back after the downtime.
+func (f *fleet) crashUnder(index int) {
+	deadline := time.Now().Add(completionTimeout)
+	for f.workers.Running(f.troubled.gang) < gangTasks {
+		if !time.Now().Before(deadline) {
+			f.t.Errorf("the gang does not run before a crash under its task %d", index)
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(runBeforeCrash)
+	name := f.workers.WorkerOf(graph.TaskID{Job: f.troubled.gang, Index: index})
+	f.workers.RestartAs(name, downtime, usualKind)
+}
+
 // setLimit changes the number of accelerators that all jobs may use together; 0 means no limit.
 func (f *fleet) setLimit(accelerators int) {
 	f.limit = resources.Amounts{Accelerators: int64(accelerators)}
