--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -32,6 +32,19 @@
 	Accepted   time.Time
 }
 
+// Origin says how a job was submitted. A caller's request concerns only jobs of its own queue and account.
+type Origin struct {
+	// Queue names the queue.
+	Queue string
+	// ClientAccount is empty for a caller without a key, in a queue that asks for none.
+	ClientAccount account.Name
+}
+
+// Origin returns how the job was submitted.
+func (j *Job) Origin() Origin {
+	return Origin{Queue: j.Queue, ClientAccount: j.ClientAccount}
+}
+
 // Recurrence makes all steps of a job run several times, at fixed intervals.
 type Recurrence struct {
 	// Count is the number of occurrences, at least 1.
@@ -217,5 +230,5 @@
 
 // SameSubmission reports whether two submissions with the same ID have the same account, queue and spec.
 func (j *Job) SameSubmission(other *Job) bool {
-	return j.ClientAccount == other.ClientAccount && j.Queue == other.Queue && j.Spec == other.Spec
+	return j.Origin() == other.Origin() && j.Spec == other.Spec
 }
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -299,6 +299,15 @@
 	return j.stored, true
 }
 
+// Origin returns how a job was submitted. It is empty if the planner does not have the job.
+func (p *Planner) Origin(id graph.ID) graph.Origin {
+	j, known := p.jobs[id]
+	if !known {
+		return graph.Origin{}
+	}
+	return j.Origin()
+}
+
 // Pending returns the number of jobs in each queue that have neither started nor ended.
 func (p *Planner) Pending() map[string]int {
 	pending := map[string]int{}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -102,8 +102,9 @@
 
 // JobStatus is the leader's view of a job. Known is false if the leader knows no such job.
 type JobStatus struct {
-	State graph.State
-	Known bool
+	Origin graph.Origin
+	State  graph.State
+	Known  bool
 }
 
 // State returns the state of a job. The second result is false if the VM does not lead, or if the context or the term
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -72,7 +72,7 @@
 		t.waves.Answered(e.begin, e.outcome, now)
 	case stateQuery:
 		state, known := t.planner.State(e.id)
-		e.reply <- JobStatus{State: state, Known: known}
+		e.reply <- JobStatus{Origin: t.planner.Origin(e.id), State: state, Known: known}
 	}
 }
 
--- a/io/coordinator/keys.go
+++ b/io/coordinator/keys.go
@@ -31,32 +31,37 @@
 func CancelKey(id graph.ID) string { return cancelPrefix + string(id) }
 
 // WithdrawnKey returns the key that says that a job was canceled before it was accepted. A submission takes effect only
-// if the key is absent, or does not name the submission's account.
+// if the key is absent, or does not concern the submission.
 func WithdrawnKey(id graph.ID) string { return withdrawnPrefix + string(id) }
 
 // Withdrawal is the value of a WithdrawnKey.
 type Withdrawal struct {
-	// Accounts are the client accounts that have canceled the job. Anonymous is set if it was canceled in a queue that
-	// asks for no key.
-	Accounts  []account.Name
-	Anonymous bool `json:",omitempty"`
+	// Origins are the submissions that were withdrawn. An origin without an account is a queue that asks for no key, and
+	// stands for all submissions to it.
+	Origins []graph.Origin
+	// Accounts and Anonymous are set in records of earlier builds, which did not store the queue.
+	Accounts  []account.Name `json:",omitempty"`
+	Anonymous bool           `json:",omitempty"`
 }
 
-// Add returns the withdrawal with that of another caller.
-func (w Withdrawal) Add(name account.Name, anonymous bool) Withdrawal {
-	if !slices.Contains(w.Accounts, name) {
-		w.Accounts = append(slices.Clone(w.Accounts), name)
-	}
-	w.Anonymous = w.Anonymous || anonymous
+// Add returns the withdrawal with that of another origin.
+func (w Withdrawal) Add(origin graph.Origin) Withdrawal {
+	w.Origins = append(slices.Clone(w.Origins), origin)
 	return w
 }
 
-// Concerns reports whether a submission of the account is withdrawn.
-func (w Withdrawal) Concerns(name account.Name, anonymous bool) bool {
-	return slices.Contains(w.Accounts, name) || w.Anonymous && anonymous
+// Names reports whether an origin was withdrawn itself.
+func (w Withdrawal) Names(origin graph.Origin) bool {
+	return slices.Contains(w.Origins, origin)
+}
+
+// Concerns reports whether a submission is withdrawn. The parameter anonymous is set if its queue asks for no key.
+func (w Withdrawal) Concerns(origin graph.Origin, anonymous bool) bool {
+	return w.Names(origin) || w.Names(graph.Origin{Queue: origin.Queue}) ||
+		slices.Contains(w.Accounts, origin.ClientAccount) || w.Anonymous && anonymous
 }
 
-// DecodeWithdrawal decodes the value of a WithdrawnKey; an absent one names no account.
+// DecodeWithdrawal decodes the value of a WithdrawnKey; an absent one concerns no submission.
 func DecodeWithdrawal(item store.Item) (Withdrawal, error) {
 	var w Withdrawal
 	if item.Revision == 0 {
@@ -86,6 +91,13 @@
 	return job, nil
 }
 
+// DecodeOrigin decodes how an accepted job was submitted.
+func DecodeOrigin(item store.Item) (graph.Origin, error) {
+	var origin graph.Origin
+	err := json.Unmarshal(item.Value, &origin)
+	return origin, errors.WithMessagef(err, "the record %s can't be read", item.Key)
+}
+
 // DecodeProgress decodes a job's progress, or a part of it.
 func DecodeProgress(item store.Item) (graph.Progress, error) {
 	var progress graph.Progress
--- a/io/intake/cancel.go
+++ b/io/intake/cancel.go
@@ -21,15 +21,15 @@
 	if err != nil {
 		return i.relayOrFallback(ctx, c, i.refusal(err.Error()))
 	}
-	job, err := coordinator.DecodeJob(item)
+	origin, err := coordinator.DecodeOrigin(item)
 	if err != nil {
 		return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
 	}
-	if job.ClientAccount != c.account && !c.queue.Anonymous {
+	if a, rejected := c.rejectOther(origin); rejected {
 		if !i.policyProven(c.snapshot) {
 			return i.relayUntilProven(ctx, c)
 		}
-		return answer.Answer{Kind: answer.Forbidden, Reason: "the job belongs to another account"}
+		return a
 	}
 	key := coordinator.CancelKey(c.id)
 	return i.commit(ctx, c, store.Transaction{
@@ -49,19 +49,19 @@
 	})
 }
 
-// withdraw stores that the account has canceled a job that was not accepted, and answers that there is no such job. No
+// withdraw stores that the caller has canceled a job that was not accepted, and answers that there is no such job. No
 // submission that is still on its way can take effect then. The parameter earlier is the job's withdrawn key as far as
 // it is known.
 func (i *Intake) withdraw(ctx context.Context, c *call, earlier store.Item) answer.Answer {
-	noJob := answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
 	withdrawal, err := coordinator.DecodeWithdrawal(earlier)
 	if err != nil {
 		return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
 	}
-	if withdrawal.Concerns(c.account, c.queue.Anonymous) && withdrawal.Anonymous == c.queue.Anonymous {
+	origin := c.canceledOrigin()
+	if withdrawal.Names(origin) {
 		return noJob
 	}
-	value, err := json.Marshal(withdrawal.Add(c.account, c.queue.Anonymous))
+	value, err := json.Marshal(withdrawal.Add(origin))
 	if err != nil {
 		return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}
 	}
--- a/io/intake/show.go
+++ b/io/intake/show.go
@@ -20,17 +20,25 @@
 	if c.id == "" {
 		return i.showPending(ctx, c)
 	}
-	if job, answered := i.site.JobState(ctx, c.id); answered && job.Known {
-		return answer.Answer{Kind: answer.State, State: job.State}
+	if job, answered := i.site.JobState(ctx, c.id); answered && job.Known && job.Origin.Queue != "" {
+		return c.showState(job.Origin, job.State)
 	}
 	// The leader may not answer, or may not yet have read a job that was only just accepted, so the store is read.
-	state, err := i.storedState(ctx, c.id)
+	origin, state, err := i.storedState(ctx, c.id)
 	if errors.Is(err, store.ErrNotFound) {
-		return answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
+		return noJob
 	}
 	if err != nil {
 		return i.relayOrFallback(ctx, c, i.refusal(err.Error()))
 	}
+	return c.showState(origin, state)
+}
+
+// showState answers with the state of a job with the given origin, if the request concerns it.
+func (c *call) showState(origin graph.Origin, state graph.State) answer.Answer {
+	if a, rejected := c.rejectOther(origin); rejected {
+		return a
+	}
 	return answer.Answer{Kind: answer.State, State: state}
 }
 
@@ -42,16 +50,27 @@
 	return answer.Answer{Kind: answer.Pending, Pending: counts[c.queue.Name]}
 }
 
-// storedState returns the state of a job according to the store, or store.ErrNotFound.
-func (i *Intake) storedState(ctx context.Context, id graph.ID) (graph.State, error) {
-	item, err := i.get(ctx, coordinator.ProgressKey(id))
-	if errors.Is(err, store.ErrNotFound) {
-		_, err = i.get(ctx, coordinator.JobKey(id))
-		return graph.Queued, err
+// storedState returns the origin and the state of a job according to the store, or store.ErrNotFound. The progress is
+// read first, so that a job that is removed between the two reads does not look as if it had not started.
+func (i *Intake) storedState(ctx context.Context, id graph.ID) (graph.Origin, graph.State, error) {
+	progress, progressErr := i.get(ctx, coordinator.ProgressKey(id))
+	if progressErr != nil && !errors.Is(progressErr, store.ErrNotFound) {
+		return graph.Origin{}, "", progressErr
 	}
+	job, err := i.get(ctx, coordinator.JobKey(id))
 	if err != nil {
-		return "", err
+		return graph.Origin{}, "", err
+	}
+	origin, err := coordinator.DecodeOrigin(job)
+	if err != nil || progressErr != nil {
+		return origin, graph.Queued, err
 	}
+	state, err := decodeState(progress)
+	return origin, state, err
+}
+
+// decodeState returns the state of a job whose progress is stored.
+func decodeState(item store.Item) (graph.State, error) {
 	progress, err := coordinator.DecodeProgress(item)
 	if err != nil {
 		return "", err
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -59,8 +59,8 @@
 	return answer.Answer{Kind: answer.Invalid, Reason: reason.Error()}
 }
 
-// storeJob stores a new job, unless its account has canceled it already. withdrawn is the revision of the job's
-// withdrawn key as far as it is known: a key that names other accounts only does not concern the job.
+// storeJob stores a new job, unless it was canceled already. withdrawn is the revision of the job's withdrawn key as
+// far as it is known: a key that names other queues or accounts only does not concern the job.
 func (i *Intake) storeJob(
 	ctx context.Context, c *call, job *graph.Job, value []byte, withdrawn store.Revision,
 ) answer.Answer {
@@ -83,7 +83,7 @@
 		if err != nil {
 			return answer.Answer{Kind: answer.Unknown, Reason: err.Error()}, true
 		}
-		if withdrawal.Concerns(job.ClientAccount, c.queue.Anonymous) {
+		if withdrawal.Concerns(job.Origin(), c.queue.Anonymous) {
 			return answer.Answer{Kind: answer.NoJob, Reason: "the job was canceled before it was accepted"}, true
 		}
 		again, withdrawn = true, item.Revision
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/peer"
 
+	"auburnstack/core/account"
 	"auburnstack/core/answer"
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
@@ -163,7 +164,10 @@
 	if err != nil {
 		return JobState{}, errors.WithMessage(ErrUnanswered, err.Error())
 	}
-	return JobState{Leading: reply.GetLeading(), Known: reply.GetKnown(), State: graph.State(reply.GetState())}, nil
+	return JobState{
+		Leading: reply.GetLeading(), Known: reply.GetKnown(), State: graph.State(reply.GetState()),
+		Origin: graph.Origin{Queue: reply.GetQueue(), ClientAccount: account.Name(reply.GetClientAccount())},
+	}, nil
 }
 
 func encodeVersion(v policywatch.Version) *relaypb.PolicyVersion {
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -93,7 +93,9 @@
 	Leading bool
 	// Known is false when the leader knows no job with the given ID.
 	Known bool
-	State graph.State
+	// Origin is empty if the leader is of an earlier build.
+	Origin graph.Origin
+	State  graph.State
 }
 
 // Errors returned by a Peer.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -135,7 +135,10 @@
 // Ask implements relaypb.RelayServer.
 func (s *service) Ask(ctx context.Context, q *relaypb.Question) (*relaypb.Answer, error) {
 	job := s.handler.Ask(ctx, graph.ID(q.GetJob()))
-	return &relaypb.Answer{Leading: job.Leading, Known: job.Known, State: string(job.State)}, nil
+	return &relaypb.Answer{
+		Leading: job.Leading, Known: job.Known, State: string(job.State),
+		Queue: job.Origin.Queue, ClientAccount: string(job.Origin.ClientAccount),
+	}, nil
 }
 
 func decodeVersion(message *relaypb.PolicyVersion) policywatch.Version {
--- a/io/relay/server_test.go
+++ b/io/relay/server_test.go
@@ -15,6 +15,11 @@
 	"auburnstack/io/relay"
 )
 
+// knownJob is what a leader tells about a job that it knows.
+var knownJob = relay.JobState{
+	Leading: true, Known: true, State: graph.Running, Origin: graph.Origin{Queue: "queue", ClientAccount: "account"},
+}
+
 // panickingHandler panics in every call but Ask.
 type panickingHandler struct{}
 
@@ -35,7 +40,7 @@
 
 // Ask implements relay.Handler.
 func (panickingHandler) Ask(context.Context, graph.ID) relay.JobState {
-	return relay.JobState{Leading: true}
+	return knownJob
 }
 
 // TestPanicEndsOneCall checks that a call whose handling panics gets an error, and that the server goes on serving. The
@@ -61,5 +66,5 @@
 	qt.Check(t, err, qt.IsNotNil)
 	state, err := peer.Ask(ctx, "job")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, state.Leading, qt.IsTrue)
+	qt.Check(t, state, qt.Equals, knownJob)
 }
--- a/io/site/node.go
+++ b/io/site/node.go
@@ -254,7 +254,7 @@
 // Ask implements relay.Handler. It returns the state of a job if this VM leads.
 func (n *Node) Ask(ctx context.Context, id graph.ID) relay.JobState {
 	job, leading := n.coordinator.State(ctx, id)
-	return relay.JobState{Leading: leading, Known: job.Known, State: job.State}
+	return relay.JobState{Leading: leading, Known: job.Known, Origin: job.Origin, State: job.State}
 }
 
 // askTimeout is the timeout for asking the leader for the state of a job, and for ending the lease of a resigned
