Jobmemory: a rejected submission gives back only its own reservation

A submission to another queue with the ID of a job that was just accepted replaced that job's reservation and gave it back when it was rejected, so that the leader could accept more than it has memory for until it had read the job (about a second). Change: a reservation is found by ID and origin. Test: TestReleaseOfOtherOrigin failed before (0 bytes taken instead of 774,336) and passes.

--- a/core/jobmemory/account.go
+++ b/core/jobmemory/account.go
@@ -54,6 +54,17 @@
 	return Allowance{Limited: l > 0, Bytes: int64(l) / int64(initialParts*max(vms, 1))}
 }
 
+// submission identifies a job that was admitted. Submissions of several origins may have the same ID until one of them
+// is stored.
+type submission struct {
+	id     graph.ID
+	origin graph.Origin
+}
+
+func submissionOf(job *graph.Job) submission {
+	return submission{id: job.ID, origin: job.Origin()}
+}
+
 // reservation is the footprint of a job that was admitted and that the leader has not read yet.
 type reservation struct {
 	bytes int64
@@ -66,12 +77,12 @@
 	limit Limit
 	// held is the footprint of all jobs that the leader holds.
 	held     int64
-	reserved map[graph.ID]reservation
+	reserved map[submission]reservation
 }
 
 // NewAccount returns an account without jobs.
 func NewAccount(limit Limit) *Account {
-	return &Account{limit: limit, reserved: map[graph.ID]reservation{}}
+	return &Account{limit: limit, reserved: map[submission]reservation{}}
 }
 
 // SetLimit replaces the limit.
@@ -92,15 +103,15 @@
 func (a *Account) Read(job *graph.Job) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.reserved, job.ID)
+	delete(a.reserved, submissionOf(job))
 	a.held += job.Footprint()
 }
 
 // Release removes the reservation of a job that was not accepted.
-func (a *Account) Release(id graph.ID) {
+func (a *Account) Release(job *graph.Job) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.reserved, id)
+	delete(a.reserved, submissionOf(job))
 }
 
 // Reserve admits a job if there is memory for it. A job of any legal size is admitted if there is no other.
@@ -108,7 +119,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// The job may have been admitted before, in an attempt whose outcome is unknown.
-	delete(a.reserved, job.ID)
+	delete(a.reserved, submissionOf(job))
 	bytes, taken := job.Footprint(), a.taken(now)
 	limit := int64(a.limit)
 	if bytes > LargeJob {
@@ -117,16 +128,16 @@
 	if a.limit > 0 && taken > 0 && taken+bytes > limit {
 		return false
 	}
-	a.reserved[job.ID] = reservation{bytes: bytes, at: now}
+	a.reserved[submissionOf(job)] = reservation{bytes: bytes, at: now}
 	return true
 }
 
 // taken returns the footprint of all jobs that the leader holds or that were admitted. The caller must hold the lock.
 func (a *Account) taken(now time.Time) int64 {
 	sum := a.held
-	for id, r := range a.reserved {
+	for key, r := range a.reserved {
 		if now.Sub(r.at) > reservationTime {
-			delete(a.reserved, id)
+			delete(a.reserved, key)
 			continue
 		}
 		sum += r.bytes
--- a/core/jobmemory/account_test.go
+++ b/core/jobmemory/account_test.go
@@ -100,7 +100,7 @@
 	now = now.Add(time.Minute)
 	qt.Check(t, account.Status(now).Full(), qt.IsFalse)
 	qt.Check(t, account.Reserve(job(2, 1), now), qt.IsTrue)
-	account.Release(job(2, 1).ID)
+	account.Release(job(2, 1))
 	qt.Check(t, account.Status(now).Taken, qt.Equals, int64(0))
 }
 
@@ -110,3 +110,17 @@
 		qt.Check(t, test[0].Min(test[1]), qt.Equals, test[2])
 	}
 }
+
+// TestReleaseOfOtherOrigin guards against a leader that holds more jobs than it has memory for: a submission to another
+// queue with the ID of a job that was just accepted is rejected, and gave that job's reservation back.
+func TestReleaseOfOtherOrigin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	account := jobmemory.NewAccount(jobmemory.NewLimit(144))
+	accepted, other := job(1, 1000), job(1, 1)
+	accepted.Queue, other.Queue = "closed", "open"
+	qt.Assert(t, account.Reserve(accepted, now), qt.IsTrue)
+	taken := account.Status(now).Taken
+	qt.Assert(t, account.Reserve(other, now), qt.IsTrue)
+	account.Release(other)
+	qt.Check(t, account.Status(now).Taken, qt.Equals, taken)
+}
--- a/io/intake/admit_test.go
+++ b/io/intake/admit_test.go
@@ -29,7 +29,7 @@
 }
 
 // ReleaseJob implements intake.Site.
-func (s *limitedSite) ReleaseJob(graph.ID) { s.released++ }
+func (s *limitedSite) ReleaseJob(*graph.Job) { s.released++ }
 
 // TestNoMemory checks that the leader refuses a job for which it has no memory, with a time for the next attempt, and
 // that the job is not stored.
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -57,7 +57,7 @@
 	// lead, the leader may still admit a job that this VM may not store by itself.
 	AdmitJob(job *graph.Job) (admitted, leading bool)
 	// ReleaseJob tells that a job that was admitted has not been stored.
-	ReleaseJob(id graph.ID)
+	ReleaseJob(job *graph.Job)
 	// Peers lists the VMs to relay requests to, the preferred ones first.
 	Peers() []relay.Peer
 }
--- a/io/intake/lost_answer_test.go
+++ b/io/intake/lost_answer_test.go
@@ -106,7 +106,7 @@
 func (siteWithPeers) AdmitJob(*graph.Job) (admitted, leading bool) { return true, true }
 
 // ReleaseJob implements intake.Site.
-func (siteWithPeers) ReleaseJob(graph.ID) {}
+func (siteWithPeers) ReleaseJob(*graph.Job) {}
 
 // Peers implements intake.Site.
 func (s siteWithPeers) Peers() []relay.Peer { return s.peers }
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -38,7 +38,7 @@
 	}
 	a := i.storeJob(ctx, c, job, value, 0)
 	if a.Kind.DeniesEffect() || a.Kind == answer.NoJob {
-		i.site.ReleaseJob(job.ID)
+		i.site.ReleaseJob(job)
 	}
 	return a
 }
--- a/io/site/memory.go
+++ b/io/site/memory.go
@@ -68,6 +68,6 @@
 }
 
 // ReleaseJob implements intake.Site.
-func (n *Node) ReleaseJob(id graph.ID) {
-	n.memory.account.Release(id)
+func (n *Node) ReleaseJob(job *graph.Job) {
+	n.memory.account.Release(job)
 }
