--- a/core/planner/taskcrashes.go
+++ b/core/planner/taskcrashes.go
@@ -61,11 +61,11 @@
 
 // findCrashes returns the position in unit.crashes at which a task is or would be, and whether it is there.
 func (u *unit) findCrashes(index int) (int, bool) {
-	return slices.BinarySearchFunc(u.crashes, index, func(c taskCrashes, index int) int {
-		return cmp.Compare(c.index, index)
-	})
+	return slices.BinarySearchFunc(u.crashes, taskCrashes{index: index}, compareIndexes)
 }
 
+func compareIndexes(a, b taskCrashes) int { return cmp.Compare(a.index, b.index) }
+
 // mostCrashes returns the largest number of crashes of which one of the unit's tasks is suspected.
 func (u *unit) mostCrashes() int {
 	most := 0
@@ -127,11 +127,7 @@
 func (u *unit) restoreCrashes(record *graph.UnitProgress) {
 	u.crashAge = record.CrashAge
 	if u.spec().Gang {
-		for _, group := range record.TaskCrashes {
-			for _, index := range group.Indexes {
-				u.setCrashes(taskCrashes{index: index, CrashCounts: group.CrashCounts})
-			}
-		}
+		u.restoreGroups(record.TaskCrashes)
 		return
 	}
 	counts := graph.CrashCounts{
@@ -142,3 +138,12 @@
 		u.setCrashes(taskCrashes{CrashCounts: counts})
 	}
 }
+
+func (u *unit) restoreGroups(groups []graph.TaskCrashes) {
+	for _, group := range groups {
+		for _, index := range group.Indexes {
+			u.crashes = append(u.crashes, taskCrashes{index: index, CrashCounts: group.CrashCounts})
+		}
+	}
+	slices.SortFunc(u.crashes, compareIndexes)
+}
