Planner tests: the checks of counted crashes look at all tasks again

When the counts went from the unit to its tasks, nine checks were changed to look at task 0 only. A crash counted for another task would have passed those that expect none, so they were weaker than before. They now compare the sums over all tasks. No code of the product changed.

--- a/core/planner/crash_test.go
+++ b/core/planner/crash_test.go
@@ -223,6 +223,16 @@
 	w.sleep(30 * time.Second)
 }
 
+// countedCrashes returns the sums of the crashes that are counted for the tasks of a unit, whichever tasks they are.
+func countedCrashes(u *unit) graph.CrashCounts {
+	var sum graph.CrashCounts
+	for _, c := range u.crashes {
+		sum.Crashes += c.Crashes
+		sum.UnambiguousCrashes += c.UnambiguousCrashes
+	}
+	return sum
+}
+
 // TestCrashesAreStored checks that the crashes counted against a unit are part of its job's stored progress, and that a
 // record of an earlier build, which lacks them, can be read.
 // Guards against BUDGET across a change of leader.
@@ -310,8 +320,8 @@
 			u := p.jobs["job"].units[0][0][0]
 			qt.Assert(t, u.phase, qt.Equals, waiting)
 			p.Observe(Observation{Worker: test.back, Incarnation: test.incarnation, Sent: now}, now)
-			qt.Check(t, u.crashesUnder(0).Crashes, qt.Equals, test.crashes)
-			qt.Check(t, u.crashesUnder(0).UnambiguousCrashes, qt.Equals, 0)
+			qt.Check(t, countedCrashes(u).Crashes, qt.Equals, test.crashes)
+			qt.Check(t, countedCrashes(u).UnambiguousCrashes, qt.Equals, 0)
 		})
 	}
 }
@@ -360,8 +370,8 @@
 			second.Observe(Observation{Worker: w.Name, Incarnation: 2, Sent: now}, now)
 			u := second.jobs["job"].units[0][0][0]
 			qt.Check(t, u.phase, qt.Equals, waiting)
-			qt.Check(t, u.crashesUnder(0).Crashes, qt.Equals, 1)
-			qt.Check(t, u.crashesUnder(0).UnambiguousCrashes, qt.Equals, 0)
+			qt.Check(t, countedCrashes(u).Crashes, qt.Equals, 1)
+			qt.Check(t, countedCrashes(u).UnambiguousCrashes, qt.Equals, 0)
 		})
 	}
 }
--- a/core/planner/crashevidence_test.go
+++ b/core/planner/crashevidence_test.go
@@ -56,7 +56,7 @@
 	s.after(11 * time.Second)
 	s.report(1)
 	s.report(2)
-	qt.Check(t, s.unit().crashesUnder(0).Crashes, qt.Equals, 0)
+	qt.Check(t, countedCrashes(s.unit()).Crashes, qt.Equals, 0)
 }
 
 // TestCrashUnderAnotherName lets a worker come back under another name, at its address, after its lease has expired.
@@ -68,7 +68,7 @@
 	back := s.worker
 	back.Name, back.Incarnation = "back", 2
 	s.planner.SetWorkers([]roster.Worker{back}, s.now)
-	qt.Check(t, s.unit().crashesUnder(0).Crashes, qt.Equals, 1)
+	qt.Check(t, countedCrashes(s.unit()).Crashes, qt.Equals, 1)
 }
 
 // TestStartAfterSilenceIsNoCrash stores a placement only after its worker has fallen silent.
@@ -77,7 +77,7 @@
 	s := newCrashSite(t)
 	s.planner.Unanswered("w", s.now.Add(-time.Millisecond))
 	s.report(2)
-	qt.Check(t, s.unit().crashesUnder(0).Crashes, qt.Equals, 0)
+	qt.Check(t, countedCrashes(s.unit()).Crashes, qt.Equals, 0)
 }
 
 // TestReportOfYoungRunConfirmsNothing has a report that lists a run and was sent just before the run crashed its worker.
@@ -90,7 +90,7 @@
 	s.planner.Unanswered("w", s.now.Add(5*time.Millisecond))
 	s.after(3 * time.Second)
 	s.report(2)
-	qt.Check(t, s.unit().crashesUnder(0).UnambiguousCrashes, qt.Equals, 1)
+	qt.Check(t, countedCrashes(s.unit()).UnambiguousCrashes, qt.Equals, 1)
 }
 
 // TestChanceDoesNotDependOnGang has three of 40 other workers crash during a run of a task, which is no chance yet.
--- a/core/planner/depart_test.go
+++ b/core/planner/depart_test.go
@@ -122,7 +122,7 @@
 	qt.Check(t, second.Departed(Removal{Last: leaving, SilenceKnown: true}, now), qt.Equals, Left)
 	u := second.jobs["j"].units[0][0][0]
 	qt.Check(t, u.phase, qt.Equals, waiting)
-	qt.Check(t, u.crashesUnder(0).Crashes, qt.Equals, 0)
+	qt.Check(t, countedCrashes(u).Crashes, qt.Equals, 0)
 	qt.Check(t, second.TakeFindings(), qt.HasLen, 0)
 }
 
