--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -23,11 +23,12 @@
 var cases = map[string]play{
 	"flood":           playFlood,
 	"long-tasks":      playLongTasks,
+	"removal":         playRemoval,
 	"replaced-route":  playReplacedRoute,
 	"moved-queue":     playMovedQueue,
 	"flapping-worker": playFlappingWorker,
 	"absence":         playAbsence,
-	"chained":         playChainedGuarantee,
+	"urgent-steps":    playUrgentSteps,
 }
 
 func main() {
--- a/review/rig3/scenarios.go
+++ b/review/rig3/scenarios.go
@@ -305,24 +305,25 @@
 	return broken, nil
 }
 
-// playAbsence hands in an urgent job for whose task the workers have no room, because tasks that last run there.
+// playAbsence hands in an urgent job whose task only one worker suits, on which two tasks that last run. Another worker
+// is idle and has room for them.
 func playAbsence(s *site, trouble bool) (bool, error) {
 	if err := s.begin(1); err != nil {
 		return false, err
 	}
-	if err := s.fleet.Add("i-21", serviceName, "b", "r2", wholeWorker); err != nil {
-		return false, err
-	}
 	lasting, urgent := jobID(1), jobID(2)
 	allowance := 1
 	does := behavior{Needs: halfTask}
-	j := newJob(does, step{Count: 2, LongRunning: true, MissAllowance: &allowance, Requirements: "a"})
+	j := newJob(does, step{Count: 2, LongRunning: true, MissAllowance: &allowance})
 	if err := s.submit(firePrefix+lasting, otherKey, j); err != nil {
 		return false, err
 	}
 	if !await(10*time.Second, func() bool { return s.fleet.runsOf(lasting) == 2 }) {
 		return false, fmt.Errorf("the lasting job does not start")
 	}
+	if err := s.fleet.Add("i-21", serviceName, "b", "r2", wholeWorker); err != nil {
+		return false, err
+	}
 	time.Sleep(visible)
 	broken := false
 	s.fleet.mu.Lock()
@@ -346,13 +347,19 @@
 	return broken, nil
 }
 
-// playChainedGuarantee hands in an urgent job of two steps, one after the other, each as large as the guarantee of its
-// tenant, while tasks of another tenant that last take the whole service. Without the disruption, nothing else runs.
-func playChainedGuarantee(s *site, trouble bool) (bool, error) {
+// playUrgentSteps hands in an urgent job of two steps, one after the other, and then a second urgent job, while tasks of
+// another tenant that last take the rest of the service. At any time the two jobs need no more than the guarantee of
+// their tenant. Without the disruption, the other tenant hands in nothing.
+func playUrgentSteps(s *site, trouble bool) (bool, error) {
+	const (
+		firstStep  = 2 * time.Second
+		secondStep = 80 * time.Second
+		watchTime  = 40 * time.Second
+	)
 	if err := s.begin(2); err != nil {
 		return false, err
 	}
-	lasting, single, chained := jobID(1), jobID(2), jobID(3)
+	lasting, stepped, single := jobID(1), jobID(2), jobID(3)
 	if trouble {
 		j := newJob(behavior{Needs: halfTask}, step{Count: 4, LongRunning: true})
 		if err := s.submit(firePrefix+lasting, otherKey, j); err != nil {
@@ -363,32 +370,34 @@
 		}
 	}
 	time.Sleep(visible)
-	j := newJob(behavior{WorkMs: 3000, Needs: fullTask}, step{Count: 1, EstimateMs: 3000})
-	if err := s.submit(specPrefix+single, apiKey, j); err != nil {
+	does := behavior{StepsMs: []int64{firstStep.Milliseconds(), secondStep.Milliseconds()}, Needs: halfTask}
+	j := newJob(does, step{Count: 1, EstimateMs: firstStep.Milliseconds()})
+	next := j.Steps[0]
+	next.EstimateMs, next.After = secondStep.Milliseconds(), []int{0}
+	j.Steps = append(j.Steps, next)
+	if err := s.submit(specPrefix+stepped, apiKey, j); err != nil {
 		return false, err
 	}
-	if !await(reclaimBound, func() bool { return s.fleet.startsOf(single) > 0 }) {
-		return false, fmt.Errorf("a job with a single step does not start either")
+	if !await(reclaimBound, func() bool { return s.fleet.startsOf(stepped) == 1 }) {
+		return false, fmt.Errorf("the first job does not start either")
 	}
-	if !await(10*time.Second, func() bool { return s.fleet.doneOf(single) }) {
-		return false, fmt.Errorf("the job with a single step does not end")
+	if !await(10*time.Second, func() bool { return s.fleet.startsOf(stepped) == 2 }) {
+		return false, fmt.Errorf("the second step of the first job does not start")
 	}
 	time.Sleep(visible)
-	next := j.Steps[0]
-	next.After = []int{0}
-	j.Steps = append(j.Steps, next)
-	if err := s.submit(specPrefix+chained, apiKey, j); err != nil {
+	one := newJob(behavior{WorkMs: firstStep.Milliseconds(), Needs: halfTask}, step{Count: 1, EstimateMs: firstStep.Milliseconds()})
+	if err := s.submit(specPrefix+single, apiKey, one); err != nil {
 		return false, err
 	}
 	accepted := time.Now()
-	if await(reclaimBound, func() bool { return s.fleet.startsOf(chained) > 0 }) {
-		s.record.Add("the job with two steps has begun after %.2f s", time.Since(accepted).Seconds())
+	if await(reclaimBound, func() bool { return s.fleet.startsOf(single) > 0 }) {
+		s.record.Add("the second job has begun after %.2f s", time.Since(accepted).Seconds())
 		return false, nil
 	}
-	s.record.Add("BROKEN (RECLAIM): the job with two steps has not begun within %s", reclaimBound)
-	await(40*time.Second, func() bool { return s.fleet.startsOf(chained) > 0 })
-	s.call(s.vms[0], http.MethodGet, specPrefix+chained, apiKey, nil)
-	s.record.Add("the job with two steps: %d starts %.0f s after its acknowledgement", s.fleet.startsOf(chained),
-		time.Since(accepted).Seconds())
+	s.record.Add("BROKEN (RECLAIM): the second job has not begun within %s", reclaimBound)
+	await(watchTime, func() bool { return s.fleet.startsOf(single) > 0 })
+	s.call(s.vms[0], http.MethodGet, specPrefix+single, apiKey, nil)
+	s.record.Add("the second job: %d starts %.0f s after its acknowledgement; the first one has %d run", s.fleet.startsOf(single),
+		time.Since(accepted).Seconds(), s.fleet.runsOf(stepped))
 	return true, nil
 }
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -79,6 +79,8 @@
 	binary  string
 	version int
 	vms     []*vmProcess
+	// statusSeconds is the time for which the state of an ended job must be shown, status_s of the settings.
+	statusSeconds int
 	// template is the template of the VMs' settings.
 	template string
 	// storeAddress is the address of the store.
@@ -98,7 +100,7 @@
 
 // newSite starts a store. The folder receives the settings and the logs of the VMs.
 func newSite(binary, folder string, r *record) (*site, error) {
-	s := &site{store: newStore(), record: r, folder: folder, binary: binary}
+	s := &site{store: newStore(), record: r, folder: folder, binary: binary, statusSeconds: 120}
 	s.fleet = newFleet(s.store, r)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -201,7 +203,7 @@
 			"{{platform.valueBytes}}", "1048576", "{{bounds.configApplyMs}}", "2000", "{{bounds.evacuateMs}}", "5000",
 			"{{advice}}", "", "{{cloudApi.address}}", "", "{{bounds.holdMaxMs}}", "10000", "{{heartbeatMs}}", "1500",
 			"{{bounds.stopMs}}", "400", "{{bounds.early_ms}}", "250", "{{bounds.remoteFactor}}", "3",
-			"{{bounds.status_s}}", "120",
+			"{{bounds.status_s}}", strconv.Itoa(s.statusSeconds),
 		).Replace(string(text))
 		if strings.Contains(filled, "{{") {
 			return fmt.Errorf("a placeholder of %s is not known", s.template)
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -46,6 +47,8 @@
 	items    map[string]item
 	events   []item
 	leases   map[int64]*lease
+	// lost is the share of the changes that are carried out and not answered.
+	lost float64
 	// second and writes count the writing calls of the current second.
 	second time.Time
 	writes int
@@ -296,9 +299,27 @@
 		s.remove(key)
 	}
 	s.notify()
+	if s.lost > 0 && rand.Float64() < s.lost {
+		s.leaveUnanswered(r)
+	}
 	writeJSON(w, http.StatusOK, map[string]any{"revision": s.revision})
 }
 
+// leaveUnanswered keeps a call without an answer until its client gives it up. The caller holds the lock.
+func (s *store) leaveUnanswered(r *http.Request) {
+	s.mu.Unlock()
+	<-r.Context().Done()
+	s.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
+// LoseAnswers sets the share of the changes that are carried out and not answered.
+func (s *store) LoseAnswers(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = share
+}
+
 func (s *store) grant(w http.ResponseWriter, r *http.Request) {
 	var message struct {
 		TTLMs int64 `json:"ttlMs"`
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -40,7 +40,9 @@
 type behavior struct {
 	// WorkMs is the time that a task takes, 0 if it lasts until it is stopped.
 	WorkMs int64
-	Needs  needs
+	// StepsMs is the same for each step, if the steps differ.
+	StepsMs []int64 `json:",omitempty"`
+	Needs   needs
 	// Saves is set if the task has checkpoints.
 	Saves bool `json:",omitempty"`
 }
@@ -114,6 +116,10 @@
 	// starts counts the starts of each job's tasks. done holds the jobs with a run that has ended as done.
 	starts map[string]int
 	done   map[string]bool
+	// noted holds the tasks with a run that has ended as done, once that end is taken note of. startsAfter counts the starts
+	// of such tasks.
+	noted       map[string]bool
+	startsAfter int
 	// onStop is called with the lock held when a stop order arrives for a run.
 	onStop func(w *worker, r *run)
 }
@@ -121,7 +127,8 @@
 // newFleet returns a fleet without workers.
 func newFleet(s *store, r *record) *fleet {
 	f := &fleet{
-		store: s, record: r, starts: map[string]int{}, done: map[string]bool{}, onStop: func(*worker, *run) {},
+		store: s, record: r, starts: map[string]int{}, done: map[string]bool{}, noted: map[string]bool{},
+		onStop: func(*worker, *run) {},
 	}
 	go f.tick()
 	return f
@@ -378,15 +385,29 @@
 		http.Error(h, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if n := stepOf(o.Task); n < len(r.does.StepsMs) {
+		r.does.WorkMs = r.does.StepsMs[n]
+	}
 	saved, _ := strconv.ParseInt(o.Checkpoint, 10, 64)
 	r.saved = time.Duration(saved) * time.Millisecond
 	f.starts[jobOf(o.Task)]++
+	if f.noted[o.Task] {
+		f.startsAfter++
+		f.record.Add("BROKEN (TWICE): %s starts again on %s, after a run that has ended done and was taken note of", o.Task, w.id)
+	}
 	w.highest[o.Task] = o.RunID
 	w.runs[o.Task] = r
 	f.record.Add("run starts: %s run %d on %s (%s)", o.Task, o.RunID, w.id, w.service)
 	w.answer(h, http.StatusOK, "")
 }
 
+// stepOf returns the number of a task's step.
+func stepOf(task string) int {
+	parts := strings.Split(task, ".")
+	n, _ := strconv.Atoi(parts[len(parts)-2])
+	return n
+}
+
 func (w *worker) handleStop(h http.ResponseWriter, request *http.Request) {
 	var o order
 	if !readJSON(h, request, &o) {
@@ -439,6 +460,9 @@
 		w.renew(o.UntilMs)
 	}
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= o.LastSeen {
+		if w.ended[0][3] == "done" {
+			f.noted[w.ended[0][1].(string)] = true
+		}
 		w.ended = w.ended[1:]
 	}
 	born := w.born
