--- a/review/rig3/flood.go
+++ b/review/rig3/flood.go
@@ -105,14 +105,19 @@
 // killInTurn kills the processes of the VMs one after the other.
 func (s *site) killInTurn() {
 	for _, v := range s.vms {
-		v.mu.Lock()
-		s.record.Add("%s is killed", v.name)
-		s.restart(v, restartDelay)
-		v.mu.Unlock()
+		s.kill(v)
 		time.Sleep(visible)
 	}
 }
 
+// kill kills the process of a VM, and starts it again after a while.
+func (s *site) kill(v *vmProcess) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s.record.Add("%s is killed", v.name)
+	s.restart(v, restartDelay)
+}
+
 // playFlood lets clients hand in many jobs of legal size, whose specs take six times their length in JSON. If no process
 // has exceeded its memory by then, it kills the processes of the VMs in turn, so that another VM leads. Without the
 // disruption, the same clients hand in a few jobs.
--- a/review/rig3/removal.go
+++ b/review/rig3/removal.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// playRemoval loses answers of the store while the records of old jobs are removed, and later kills the processes of the
-// VMs in turn. Without the disruption, no answer is lost.
+// playRemoval loses answers of the store while the records of old jobs are removed, kills the process of a VM after every
+// second time, and at last those of all VMs in turn. Without the disruption, no answer is lost.
 func playRemoval(s *site, trouble bool) (bool, error) {
 	const (
 		statusSeconds = 10
@@ -47,7 +47,7 @@
 	}
 	s.record.Add("%d jobs were handed in", jobs)
 	time.Sleep(retention - time.Since(begun))
-	for range lostTimes {
+	for i := range lostTimes {
 		if trouble {
 			s.record.Add("answers of the store are lost, %.2f of the changes", lostShare)
 			s.store.LoseAnswers(lostShare)
@@ -55,6 +55,9 @@
 		time.Sleep(lostTime)
 		s.store.LoseAnswers(0)
 		s.record.Add("answers of the store are not lost")
+		if i%2 == 1 {
+			s.kill(s.vms[i/2%vmCount])
+		}
 		time.Sleep(lostPause)
 	}
 	time.Sleep(calm)
