--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"auburnstack/core/graph"
@@ -132,7 +134,8 @@
 }
 
 // unblock makes a job's blocked units ready for placement once the steps that they depend on have finished. The units
-// of a recurring job become ready no earlier than half of Settings.EarlyStart before the due time of their occurrence.
+// of a recurring job become ready no earlier than half of Settings.EarlyStart before the due time of their
+// occurrence.
 func (p *Planner) unblock(j *jobState, now time.Time) {
 	for occurrence := range j.units {
 		if due := j.Due(occurrence); !due.IsZero() && now.Before(due.Add(-p.settings.EarlyStart/2)) {
@@ -250,30 +253,42 @@
 	u.phase = blocked
 }
 
-// Forgotten is a job that the planner no longer has, and whose progress has the given number of parts.
+// Forgotten is a job that the planner no longer has.
 type Forgotten struct {
-	ID    graph.ID
+	ID graph.ID
+	// Parts is the number of parts of its progress.
 	Parts int
+	// Accepted is the time at which the job was accepted.
+	Accepted time.Time
 }
 
-// Forget removes the jobs that ended more than RetainFinal ago and returns them.
+// Forget removes the jobs that ended more than RetainFinal ago and returns them, sorted by ID. All changes of their
+// progress are stored.
 func (p *Planner) Forget(now time.Time) []Forgotten {
 	var forgotten []Forgotten
 	for id, j := range p.jobs {
-		if j.stored.Final() && !j.hasActiveUnits() && now.Sub(j.ended) > p.settings.RetainFinal {
-			delete(p.jobs, id)
-			p.footprint -= j.Footprint()
-			for _, changed := range j.parts {
-				delete(p.dirty, changed)
-				delete(p.storing, changed)
-			}
-			p.forgetAdvice(id)
-			forgotten = append(forgotten, Forgotten{ID: id, Parts: len(j.parts)})
+		old := j.stored.Final() && now.Sub(j.ended) > p.settings.RetainFinal
+		if !old || j.hasActiveUnits() || p.hasUnstored(j) {
+			continue
 		}
+		delete(p.jobs, id)
+		p.footprint -= j.Footprint()
+		p.forgetAdvice(id)
+		forgotten = append(forgotten, Forgotten{ID: id, Parts: len(j.parts), Accepted: j.Accepted})
 	}
+	slices.SortFunc(forgotten, func(a, b Forgotten) int { return cmp.Compare(a.ID, b.ID) })
 	return forgotten
 }
 
+// hasUnstored reports whether a change of the job's progress is not stored yet.
+func (p *Planner) hasUnstored(j *jobState) bool {
+	return slices.ContainsFunc(j.parts, func(changed *part) bool {
+		_, isDirty := p.dirty[changed]
+		_, isStoring := p.storing[changed]
+		return isDirty || isStoring
+	})
+}
+
 // hasActiveUnits reports whether any unit of the job is running or ending.
 func (j *jobState) hasActiveUnits() bool {
 	found := false
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -15,8 +15,8 @@
 	isEvent()
 }
 
-// workersChanged carries all valid worker registrations, as last read from the store, and the last state of those that
-// were removed since. The store still had them at the time readAt.
+// workersChanged carries all valid worker registrations, as last read from the store, and the last state of those
+// that were removed since. The store still had them at the time readAt.
 type workersChanged struct {
 	workers, removed []roster.Worker
 	readAt           time.Time
@@ -70,9 +70,11 @@
 	rejected, open []planner.Change
 }
 
-// jobsRemoved reports that all records of old jobs were removed from the store.
-type jobsRemoved struct {
-	ids []graph.ID
+// removalEnded reports the end of a removal of old jobs. The field done is set if all their records were removed from
+// the store.
+type removalEnded struct {
+	ids  []graph.ID
+	done bool
 }
 
 // policyChanged reports that another configuration is in force.
@@ -93,6 +95,6 @@
 func (stopAnswered) isEvent()   {}
 func (paceAnswered) isEvent()   {}
 func (flushDone) isEvent()      {}
-func (jobsRemoved) isEvent()    {}
+func (removalEnded) isEvent()   {}
 func (policyChanged) isEvent()  {}
 func (stateQuery) isEvent()     {}
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -21,10 +21,8 @@
 		t.updateLinks()
 	case jobsAccepted:
 		t.accept(e, now)
-	case jobsRemoved:
-		for _, id := range e.ids {
-			t.removed[id] = now
-		}
+	case removalEnded:
+		t.finishRemoval(e, now)
 	case holdAnswered:
 		t.observe(e, now)
 	case holdUnanswered:
@@ -153,7 +151,7 @@
 
 func (t *term) accept(e jobsAccepted, now time.Time) {
 	for _, job := range e.jobs {
-		if _, removed := t.removed[job.ID]; removed {
+		if t.wasRemoved(job) {
 			continue
 		}
 		if !t.planner.Has(job.ID) {
--- a/io/coordinator/inbox_test.go
+++ b/io/coordinator/inbox_test.go
@@ -16,11 +16,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCapacityTerm(t)
 		defer c.close()
-		c.removed["old"] = time.Time{}
+		c.removed["old"] = removedJob{}
 		old := jobsAccepted{jobs: []*graph.Job{{ID: "old", Queue: "long", Steps: []graph.Step{{Tasks: 1}}}}}
 		c.accept(old, time.Now())
 		qt.Check(t, c.planner.Has("old"), qt.IsFalse)
-		c.handle(jobsRemoved{ids: []graph.ID{"old"}})
+		c.handle(removalEnded{ids: []graph.ID{"old"}, done: true})
 		c.accept(old, time.Now())
 		qt.Check(t, c.planner.Has("old"), qt.IsFalse, qt.Commentf("a read may have begun before the removal"))
 		time.Sleep(2 * loadTimeout)
--- a/io/coordinator/takeover.go
+++ b/io/coordinator/takeover.go
@@ -78,16 +78,24 @@
 func (t *term) restore(accepted jobsAccepted, progress map[graph.ID]graph.Progress) {
 	now := time.Now()
 	t.planner = planner.New(t.config.Settings, t.policy())
+	unplaced, ended := 0, 0
 	for _, job := range accepted.jobs {
-		if record, found := progress[job.ID]; found {
-			t.planner.Restore(job, record, now)
-		} else {
+		record, found := progress[job.ID]
+		switch {
+		case !found:
+			unplaced++
 			t.planner.Submit(job, now)
+			continue
+		case record.State.Final():
+			ended++
 		}
+		t.planner.Restore(job, record, now)
 	}
 	for _, id := range accepted.canceled {
 		t.planner.Cancel(id, now)
 	}
+	t.config.Log.Info("jobs restored", "jobs", len(accepted.jobs), "without_progress", unplaced, "ended", ended,
+		"cancellations", len(accepted.canceled))
 }
 
 func (t *term) policy() *policy.Policy {
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -67,9 +67,10 @@
 	// lastProbe holds, for each failure domain, the time of the last round of probes to its workers.
 	lastProbe   map[domain.Name]time.Time
 	lastRemoval time.Time
-	// removed holds the jobs that the planner has forgotten in this term, with the time by which their records were
-	// removed; zero until then. A read of the inbox may still return them.
-	removed map[graph.ID]time.Time
+	// removalInFlight is set while records of old jobs are being removed.
+	removalInFlight bool
+	// removed holds the jobs that the planner has forgotten in this term, until no read of the inbox returns them.
+	removed map[graph.ID]removedJob
 	waves   *upkeep.Tracker
 	learned learned
 	// reports holds the reports on upkeep waves that are still to be stored.
@@ -104,7 +105,7 @@
 		config: config, role: role, events: make(chan event, eventBuffer), pacer: newPacer(),
 		openingSlots: make(chan struct{}, maxOpeningLinks),
 		lastProbe:    map[domain.Name]time.Time{}, links: map[endpoint.Name]*link{}, revisions: map[string]store.Revision{},
-		removed: map[graph.ID]time.Time{},
+		removed: map[graph.ID]removedJob{},
 	}
 	t.history = newHistory(t)
 	t.accounts = newAccountWatch(config)
