Planner: a job whose end was stored in part ends under the next leader (LOST, BUDGET)

Callers would see: a job of more than 64 tasks shown as running for good though all its tasks are done; or a task that starts once more after it has failed, or crashed its worker, as often as it may. Cause: such a job has several records, its state in the first. The end of its last unit changes two of them, which go into one transaction unless more than 15 records wait. If the leader goes between the two, the next one finds all units done, or one without an attempt left, and a state that is not final; it compared the two only when a run ended. Change: Restore ends a job whose units show that it has ended (endRestored). Test: TestEndStoredInPart, red before (the job stays queued; the task that has failed or crashed starts again). Tests of core/planner are green.

--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -135,14 +135,25 @@
 		u.phase = blocked
 		return
 	}
-	if limit := u.job.queue.MaxAttempts; limit > 0 && u.failures >= limit && !u.spec().LongRunning {
+	if u.exhausted() {
 		u.phase = blocked
-		p.end(u.job, graph.Failed, "a task has failed as often as the queue allows", JobFailed, now)
+		p.endExhausted(u.job, now)
 		return
 	}
 	p.enqueue(u, now)
 }
 
+// exhausted reports whether a unit has failed as often as its queue allows.
+func (u *unit) exhausted() bool {
+	limit := u.job.queue.MaxAttempts
+	return limit > 0 && u.failures >= limit && !u.spec().LongRunning
+}
+
+// endExhausted ends a job because one of its units has failed as often as the queue allows.
+func (p *Planner) endExhausted(j *jobState, now time.Time) {
+	p.end(j, graph.Failed, "a task has failed as often as the queue allows", JobFailed, now)
+}
+
 // expireLeases marks all runs on workers whose leases have expired as lost.
 func (p *Planner) expireLeases(now time.Time) {
 	for _, w := range p.workersByName {
--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -1,13 +1,14 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"auburnstack/core/graph"
 )
 
-// Restore adds a job that was accepted earlier, with all parts of its stored progress. It has no effect if the planner
-// already has the job.
+// Restore adds a job that was accepted earlier, with all parts of its stored progress. It has no effect if the
+// planner already has the job.
 func (p *Planner) Restore(job *graph.Job, progress graph.Progress, now time.Time) {
 	if _, known := p.jobs[job.ID]; known {
 		return
@@ -31,6 +32,7 @@
 	}
 	if !j.state.Final() {
 		p.unblock(j, now)
+		p.endRestored(j, now)
 	}
 	if progress.Parts != j.recordedParts() && !j.state.Final() {
 		p.storeAnew(j)
@@ -38,8 +40,28 @@
 	p.needsPlacement = true
 }
 
-// storeAnew marks all parts of a job as changed, because its record was divided into other parts. The first part, whose
-// record has held all units until now, is stored last.
+// endRestored ends a job whose units show that it has ended. Its state is in another record than some of its units,
+// so the previous leader may have stored the end of a unit only.
+func (p *Planner) endRestored(j *jobState, now time.Time) {
+	if j.remaining == 0 {
+		j.setFinal(graph.Complete, now)
+		p.markDirty(j.parts[0])
+		return
+	}
+	var idle []*unit
+	j.eachUnit(func(u *unit) {
+		if u.phase == waiting {
+			idle = append(idle, u)
+		}
+	})
+	if slices.ContainsFunc(idle, (*unit).exhausted) {
+		p.endExhausted(j, now)
+	}
+	p.giveUpDeadly(idle, now)
+}
+
+// storeAnew marks all parts of a job as changed, because its record was divided into other parts. The first part,
+// whose record has held all units until now, is stored last.
 func (p *Planner) storeAnew(j *jobState) {
 	for i := len(j.parts) - 1; i >= 0; i-- {
 		p.markDirty(j.parts[i])
--- a/core/planner/takeover_test.go
+++ b/core/planner/takeover_test.go
@@ -53,8 +53,8 @@
 	qt.Check(t, second.jobs["job"].units[0][0][0].failures, qt.Equals, 1)
 }
 
-// TestTakeoverCountsStopsThatAreDue guards against work that a new leader stops in vain for an urgent unit, although the
-// runs of an ended job, which it has just ordered to stop, leave room below the account's limit.
+// TestTakeoverCountsStopsThatAreDue guards against work that a new leader stops in vain for an urgent unit, although
+// the runs of an ended job, which it has just ordered to stop, leave room below the account's limit.
 func TestTakeoverCountsStopsThatAreDue(t *testing.T) {
 	for _, ended := range []string{"before the takeover", "in the takeover"} {
 		first, list, now := newLimitedPlanner(limitedPolicy("gold", 8), 3)
@@ -82,3 +82,33 @@
 		qt.Check(t, stopped, qt.DeepEquals, []string{"canceled.0.0.0"}, qt.Commentf(ended))
 	}
 }
+
+// TestEndStoredInPart lets a leader go that has stored the end of a job's last run, but not yet that of the job: the
+// two are in different records. Guards against LOST and BUDGET: the job never ended, or its task started again after
+// it had failed, or crashed its worker, as often as it may.
+func TestEndStoredInPart(t *testing.T) {
+	const tasks = maxPartTasks + 1
+	now := time.Unix(1000, 0)
+	for _, test := range []struct {
+		last graph.UnitProgress
+		want graph.State
+	}{
+		{graph.UnitProgress{Index: tasks - 1, Run: 1, Done: true}, graph.Complete},
+		{graph.UnitProgress{Index: tasks - 1, Run: 2, Failures: 2, FailedRun: 2}, graph.Failed},
+		{graph.UnitProgress{Index: tasks - 1, Run: 4, Crashes: 4, UnambiguousCrashes: 4, CrashedRun: 4}, graph.Failed},
+	} {
+		progress := graph.Progress{ID: "job", State: graph.Queued, Parts: 2, Units: []graph.UnitProgress{test.last}}
+		for index := range tasks - 1 {
+			progress.Units = append(progress.Units, graph.UnitProgress{Index: index, Run: 1, Done: true})
+		}
+		p := New(testSettings(), testPolicy())
+		p.SetWorkers([]roster.Worker{{
+			Name: "w", Service: "assay", Incarnation: 1, Capacity: amountsOf(8),
+		}}, now)
+		p.SetResponsive("w", true)
+		p.Restore(simpleJob("job", "batch", "gold", tasks, 1, now), progress, now)
+		qt.Check(t, settle(p, now), qt.HasLen, 0)
+		state, _ := p.State("job")
+		qt.Check(t, state, qt.Equals, test.want)
+	}
+}
