--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -19,10 +19,11 @@
 type Job struct {
 	ID            ID
 	ClientAccount account.Name
-	// Queue names the queue that accepted the job. The current policy defines the queue's priority, limits and service.
+	// Queue is the name of the queue that accepted the job, as it was then.
 	Queue string
-	// AcceptedBy is the queue as the policy defined it when the job was accepted. It applies while the current policy has
-	// no such queue. It is empty in records of earlier builds.
+	// AcceptedBy is the queue as the policy defined it when the job was accepted. The queue with the same address in the
+	// current policy defines the job's priority, limits and service; AcceptedBy applies while there is none. It is empty
+	// in records of earlier builds.
 	AcceptedBy policy.Queue `json:",omitzero"`
 	// Spec is passed to the workers unchanged.
 	Spec  string
@@ -34,15 +35,39 @@
 
 // Origin says how a job was submitted. A caller's request concerns only jobs of its own queue and account.
 type Origin struct {
-	// Queue names the queue.
+	// Queue is the name of the queue at that time.
 	Queue string
+	// Address is the address of the queue. It is empty in records of earlier builds.
+	Address policy.Address `json:",omitzero"`
 	// ClientAccount is empty for a caller without a key, in a queue that asks for none.
 	ClientAccount account.Name
 }
 
 // Origin returns how the job was submitted.
 func (j *Job) Origin() Origin {
-	return Origin{Queue: j.Queue, ClientAccount: j.ClientAccount}
+	return Origin{Queue: j.Queue, Address: j.AcceptedBy.Address(), ClientAccount: j.ClientAccount}
+}
+
+// SameQueue reports whether two origins have the same queue. The name decides only if an address is not known, as
+// another version of the policy may give a queue another name.
+func (o Origin) SameQueue(other Origin) bool {
+	if o.Address.Known() && other.Address.Known() {
+		return o.Address == other.Address
+	}
+	return o.Queue == other.Queue
+}
+
+// Same reports whether two origins have the same queue and account.
+func (o Origin) Same(other Origin) bool {
+	return o.SameQueue(other) && o.ClientAccount == other.ClientAccount
+}
+
+// Key returns the origin without the name of its queue if the address is known. Keys of the same origin are equal.
+func (o Origin) Key() Origin {
+	if o.Address.Known() {
+		o.Queue = ""
+	}
+	return o
 }
 
 // Recurrence makes all steps of a job run several times, at fixed intervals.
@@ -118,8 +143,8 @@
 	// MaxJobTasks is the maximum number of tasks in all steps and occurrences of a job together. A leader holds all of
 	// them in memory.
 	MaxJobTasks = 8192
-	// MaxAmount is the largest amount of a resource that a task may need, in the units of resources.Amounts. The sums over
-	// many tasks must not overflow.
+	// MaxAmount is the largest amount of a resource that a task may need, in the units of resources.Amounts. The sums
+	// over many tasks must not overflow.
 	MaxAmount = 1 << 32
 	// MaxDuration is the longest estimate, and the longest time from the first to the last occurrence.
 	MaxDuration = 10 * 365 * 24 * time.Hour
@@ -230,5 +255,5 @@
 
 // SameSubmission reports whether two submissions with the same ID have the same account, queue and spec.
 func (j *Job) SameSubmission(other *Job) bool {
-	return j.Origin() == other.Origin() && j.Spec == other.Spec
+	return j.Origin().Same(other.Origin()) && j.Spec == other.Spec
 }
--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -6,8 +6,8 @@
 	"auburnstack/core/graph"
 )
 
-// memberEnded releases a member whose run has ended. It then finishes or interrupts the unit, depending on how the run
-// has ended.
+// memberEnded releases a member whose run has ended. It then finishes or interrupts the unit, depending on how the
+// run has ended.
 func (p *Planner) memberEnded(m *member, kind EndKind, checkpoint string, now time.Time) {
 	u := m.unit
 	if m.state == ended || u.phase == finished {
@@ -61,7 +61,8 @@
 	return run <= u.run
 }
 
-// maxAvoided limits the number of workers that a unit avoids, because long-running tasks may fail any number of times.
+// maxAvoided limits the number of workers that a unit avoids, because long-running tasks may fail any number of
+// times.
 const maxAvoided = 4
 
 // avoidWorker makes a unit avoid a worker on which it has failed.
@@ -85,7 +86,7 @@
 		m.worker.health.succeeded()
 		p.observeDuration(m, now)
 		p.watchEnd(m, now)
-		p.estimator.observe(m.unit.job.Queue, m.unit.spec().Estimate, now.Sub(m.unit.startedAt))
+		p.estimator.observe(m.unit.job.queueKey, m.unit.spec().Estimate, now.Sub(m.unit.startedAt))
 	case EndFailed:
 		m.worker.health.failed(m.unit.job.ID, now)
 	default:
@@ -114,8 +115,8 @@
 	p.markDirty(u.part)
 }
 
-// interruptUnit stops the remaining members of a unit after one of them has ended. When the last member has ended, the
-// unit becomes ready for placement again, unless its job has ended or the queue allows no more attempts.
+// interruptUnit stops the remaining members of a unit after one of them has ended. When the last member has ended,
+// the unit becomes ready for placement again, unless its job has ended or the queue allows no more attempts.
 func (p *Planner) interruptUnit(u *unit, now time.Time) {
 	if !u.job.state.Final() {
 		// After a job has ended, the ends of its stopped runs are not stored, because nobody asks for them.
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -14,6 +14,8 @@
 type jobState struct {
 	*graph.Job
 	queue policy.Queue
+	// queueKey is the key of the queue, or the name of a queue that the policy lacks.
+	queueKey string
 	// holding is the state of the job's client account.
 	holding *holding
 	// withinRateAt is the time from which on the job is within the rate at which its account may submit jobs.
@@ -68,9 +70,8 @@
 
 func (p *Planner) newJob(job *graph.Job) *jobState {
 	j := &jobState{Job: job, state: graph.Queued, stored: graph.Queued, stopCounts: map[StopReason]int{}}
-	j.queue = p.queueOf(job)
+	p.setQueue(j, p.queueOf(job))
 	j.holding = p.holdingOf(job.ClientAccount)
-	p.anyAdvised = p.anyAdvised || j.queue.Advice != nil
 	j.units = make([][][]*unit, job.Occurrences())
 	for occurrence := range j.units {
 		j.units[occurrence] = make([][]*unit, len(job.Steps))
@@ -90,9 +91,15 @@
 	return j
 }
 
+// setQueue sets the queue whose settings apply to a job.
+func (p *Planner) setQueue(j *jobState, queue policy.Queue) {
+	j.queue, j.queueKey = queue, cmp.Or(queue.Key(), j.Queue)
+	p.anyAdvised = p.anyAdvised || queue.Advice != nil
+}
+
 // queueOf returns the queue of a job. A job whose queue the operators have removed goes on as it was accepted.
 func (p *Planner) queueOf(job *graph.Job) policy.Queue {
-	if queue, found := p.policy.Queue(job.Queue); found {
+	if queue, found := p.queues.Find(job.AcceptedBy.Address(), job.Queue); found {
 		return queue
 	}
 	return job.AcceptedBy
@@ -323,12 +330,12 @@
 	return j.Origin()
 }
 
-// Pending returns the number of jobs in each queue that have neither started nor ended.
+// Pending returns, by the queues' keys, the number of jobs in each queue that have neither started nor ended.
 func (p *Planner) Pending() map[string]int {
 	pending := map[string]int{}
 	for _, j := range p.jobs {
 		if !j.started && !j.state.Final() {
-			pending[j.Queue]++
+			pending[j.queueKey]++
 		}
 	}
 	return pending
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// lateFactor is the multiple of a job's objective, the time within which the job should finish, after which a finished
-// job earns no reward.
+// lateFactor is the multiple of a job's objective, the time within which the job should finish, after which a
+// finished job earns no reward.
 const lateFactor = 3
 
 // waitingStep holds the waiting units of a step of one occurrence, with the sort keys that they share.
@@ -76,7 +76,7 @@
 		begin = due
 	}
 	objective := p.objective(u.job)
-	work := p.estimator.expect(u.job.Queue, u.spec().Estimate)
+	work := p.estimator.expect(u.job.queueKey, u.spec().Estimate)
 	priority := u.job.queue.Priority
 	if u.urgent() {
 		priority = 0
@@ -108,7 +108,8 @@
 	}
 }
 
-// last returns the result of a comparison with a step that differs in a condition, the fulfillment of which comes last.
+// last returns the result of a comparison with a step that differs in a condition, the fulfillment of which comes
+// last.
 func last(fulfilled bool) int {
 	if fulfilled {
 		return 1
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -1,7 +1,7 @@
 // Package planner decides which tasks run on which workers. It does no I/O and reads no clock: its input is method
-// calls with the current time, its output is actions, and the job progress that the caller must store. It places units,
-// each a single task or a gang. The start of a new placement is ordered only after the progress that contains the
-// placement is stored.
+// calls with the current time, its output is actions, and the job progress that the caller must store. It places
+// units, each a single task or a gang. The start of a new placement is ordered only after the progress that contains
+// the placement is stored.
 package planner
 
 import (
@@ -49,7 +49,9 @@
 type Planner struct {
 	settings Settings
 	policy   *policy.Policy
-	workers  map[endpoint.Name]*worker
+	// queues finds the queues of the policy.
+	queues  *policy.QueueIndex
+	workers map[endpoint.Name]*worker
 	// workersByName lists the workers sorted by name, which makes decisions deterministic.
 	workersByName []*worker
 	// anyRetired is set if a worker may be retired. anyAdvised is set if a job may be in a queue with advice.
@@ -124,6 +126,7 @@
 	planner := &Planner{
 		settings:         settings,
 		policy:           p,
+		queues:           policy.NewQueueIndex(p),
 		workers:          map[endpoint.Name]*worker{},
 		jobs:             map[graph.ID]*jobState{},
 		holdings:         map[account.Name]*holding{},
@@ -146,11 +149,11 @@
 	return planner
 }
 
-// SetPolicy replaces the policy in force, which is the operators' configuration. Jobs that the planner already has keep
-// the settings of their queue, except jobs whose queue was missing from the earlier policy: these take the settings
-// from the new policy.
+// SetPolicy replaces the policy in force, which is the operators' configuration. Jobs that the planner already has
+// keep the settings of their queue, except jobs whose queue was missing from the earlier policy: these take the
+// settings from the new policy.
 func (p *Planner) SetPolicy(next *policy.Policy) {
-	p.policy = next
+	p.policy, p.queues = next, policy.NewQueueIndex(next)
 	p.needsPlacement = true
 	if p.applyAccounts() {
 		// Units that the current round has tried may fit now.
@@ -159,14 +162,13 @@
 	}
 	for _, j := range p.jobs {
 		if j.queue.Name == "" {
-			j.queue = p.queueOf(j.Job)
-			p.anyAdvised = p.anyAdvised || j.queue.Advice != nil
+			p.setQueue(j, p.queueOf(j.Job))
 		}
 	}
 }
 
-// leaseEnd returns the time at which a lease that was renewed at the given time has expired, whatever the drift of the
-// worker's clock.
+// leaseEnd returns the time at which a lease that was renewed at the given time has expired, whatever the drift of
+// the worker's clock.
 func (p *Planner) leaseEnd(renewed time.Time) time.Time {
 	limit := time.Duration(float64(p.settings.LeaseLimit) * (1 + clockDrift))
 	return renewed.Add(limit + leaseMargin)
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -60,8 +60,34 @@
 	Advice *Advice `json:",omitempty"`
 }
 
-// Advice holds the timing of the adviser, the service that alone knows on which workers the steps of a queue may run. A
-// task of such a queue may only start with a ticket, a permission issued by the adviser.
+// Address is the place under which callers reach a queue. It identifies the queue in all versions of the policy,
+// while the queue's name may change.
+type Address struct {
+	Host   string
+	Prefix string
+}
+
+// Known reports whether the address is one. Records of earlier builds have none.
+func (a Address) Known() bool {
+	return a != Address{}
+}
+
+// Address returns the address of the queue.
+func (q *Queue) Address() Address {
+	return Address{Host: q.Host, Prefix: q.Prefix}
+}
+
+// Key returns a text that identifies the queue in all versions of the policy: its address or, if it has none, its
+// name.
+func (q *Queue) Key() string {
+	if !q.Address().Known() {
+		return q.Name
+	}
+	return q.Host + q.Prefix
+}
+
+// Advice holds the timing of the adviser, the service that alone knows on which workers the steps of a queue may run.
+// A task of such a queue may only start with a ticket, a permission issued by the adviser.
 type Advice struct {
 	// Decision and Period define the time that the adviser takes to answer a question about n workers: Decision plus n
 	// times Period.
@@ -93,7 +119,8 @@
 	// Weight is the account's share of a service when not everything fits, relative to the weights of other accounts. 0
 	// means that none is configured.
 	Weight float64 `json:",omitempty"`
-	// Limit holds the largest amounts that all runs of the account may have together; 0 means no limit for that resource.
+	// Limit holds the largest amounts that all runs of the account may have together; 0 means no limit for that
+	// resource.
 	Limit resources.Amounts `json:",omitzero"`
 }
 
@@ -138,14 +165,33 @@
 	return p.Queues[best], true
 }
 
-// Queue returns the queue with the given name.
-func (p *Policy) Queue(name string) (Queue, bool) {
-	for i := range p.Queues {
-		if p.Queues[i].Name == name {
-			return p.Queues[i], true
-		}
+// QueueIndex finds the queues of a policy.
+type QueueIndex struct {
+	byAddress map[Address]*Queue
+	byName    map[string]*Queue
+}
+
+// NewQueueIndex returns the index of a policy. Of several queues with the same address or name it has the first one.
+func NewQueueIndex(p *Policy) *QueueIndex {
+	x := &QueueIndex{byAddress: map[Address]*Queue{}, byName: map[string]*Queue{}}
+	for i := range slices.Backward(p.Queues) {
+		q := &p.Queues[i]
+		x.byAddress[q.Address()] = q
+		x.byName[q.Name] = q
+	}
+	return x
+}
+
+// Find returns the queue with the given address or, if the address is not known, with the given name.
+func (x *QueueIndex) Find(address Address, name string) (Queue, bool) {
+	q, found := x.byName[name]
+	if address.Known() {
+		q, found = x.byAddress[address]
+	}
+	if !found {
+		return Queue{}, false
 	}
-	return Queue{}, false
+	return *q, true
 }
 
 // Authenticate returns the account that an API key belongs to.
@@ -171,7 +217,8 @@
 	return 0
 }
 
-// Limit returns the largest amounts that all runs of an account may have together; 0 means no limit for that resource.
+// Limit returns the largest amounts that all runs of an account may have together; 0 means no limit for that
+// resource.
 func (p *Policy) Limit(name account.Name) resources.Amounts {
 	for i := range p.Accounts {
 		if p.Accounts[i].Name == name {
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -1,6 +1,6 @@
-// Package coordinator carries out the planner's decisions while its VM leads the site: it reads accepted jobs from the
-// store, records their progress there, and sends orders to workers. One goroutine, the control goroutine, owns the
-// state of a term. Other goroutines call the store and the workers, and report the results to it as events.
+// Package coordinator carries out the planner's decisions while its VM leads the site: it reads accepted jobs from
+// the store, records their progress there, and sends orders to workers. One goroutine, the control goroutine, owns
+// the state of a term. Other goroutines call the store and the workers, and report the results to it as events.
 package coordinator
 
 import (
@@ -140,8 +140,8 @@
 	return nil
 }
 
-// Pending returns, for each queue, the number of jobs none of whose tasks has started. The second result is false if
-// the VM does not lead or has not loaded all records yet.
+// Pending returns, by the queues' keys, the number of jobs none of whose tasks has started. The second result is
+// false if the VM does not lead or has not loaded all records yet.
 func (c *Coordinator) Pending() (map[string]int, bool) {
 	t := c.current()
 	if t == nil {
--- a/io/coordinator/keys.go
+++ b/io/coordinator/keys.go
@@ -10,6 +10,7 @@
 
 	"auburnstack/core/account"
 	"auburnstack/core/graph"
+	"auburnstack/core/policy"
 	"auburnstack/io/store"
 )
 
@@ -30,8 +31,8 @@
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id graph.ID) string { return cancelPrefix + string(id) }
 
-// WithdrawnKey returns the key that says that a job was canceled before it was accepted. A submission takes effect only
-// if the key is absent, or does not concern the submission.
+// WithdrawnKey returns the key that says that a job was canceled before it was accepted. A submission takes effect
+// only if the key is absent, or does not concern the submission.
 func WithdrawnKey(id graph.ID) string { return withdrawnPrefix + string(id) }
 
 // Withdrawal is the value of a WithdrawnKey.
@@ -52,12 +53,12 @@
 
 // Names reports whether an origin was withdrawn itself.
 func (w Withdrawal) Names(origin graph.Origin) bool {
-	return slices.Contains(w.Origins, origin)
+	return slices.ContainsFunc(w.Origins, origin.Same)
 }
 
 // Concerns reports whether a submission is withdrawn. The parameter anonymous is set if its queue asks for no key.
 func (w Withdrawal) Concerns(origin graph.Origin, anonymous bool) bool {
-	return w.Names(origin) || w.Names(graph.Origin{Queue: origin.Queue}) ||
+	return w.Names(origin) || w.Names(graph.Origin{Queue: origin.Queue, Address: origin.Address}) ||
 		slices.Contains(w.Accounts, origin.ClientAccount) || w.Anonymous && anonymous
 }
 
@@ -93,8 +94,13 @@
 
 // DecodeOrigin decodes how an accepted job was submitted.
 func DecodeOrigin(item store.Item) (graph.Origin, error) {
-	var origin graph.Origin
-	err := json.Unmarshal(item.Value, &origin)
+	var job struct {
+		Queue         string
+		ClientAccount account.Name
+		AcceptedBy    policy.Address
+	}
+	err := json.Unmarshal(item.Value, &job)
+	origin := graph.Origin{Queue: job.Queue, Address: job.AcceptedBy, ClientAccount: job.ClientAccount}
 	return origin, errors.WithMessagef(err, "the record %s can't be read", item.Key)
 }
 
@@ -107,8 +113,8 @@
 	return progress, nil
 }
 
-// decodeInbox decodes items into jobs and cancellations. It reports and skips a job that can't be decoded, so that the
-// other jobs are still decoded.
+// decodeInbox decodes items into jobs and cancellations. It reports and skips a job that can't be decoded, so that
+// the other jobs are still decoded.
 func decodeInbox(items []store.Item, report func(error)) jobsAccepted {
 	var found jobsAccepted
 	for _, item := range items {
--- a/io/intake/origin_test.go
+++ b/io/intake/origin_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"auburnstack/core/account"
 	"auburnstack/core/answer"
@@ -23,17 +24,30 @@
 	"auburnstack/standin/memstore"
 )
 
-// queuesCodec decodes every configuration as four queues, of which two need no key, and two accounts.
+// queuesCodec decodes configurations of up to four queues, of which two need no key, and two accounts. A
+// configuration holds the names of the queues that are not named as their prefixes; an empty name stands for a queue
+// that is removed.
 type queuesCodec struct{ codec }
 
 // Decode implements policywatch.Codec.
-func (queuesCodec) Decode(map[string]store.Item) (*policy.Policy, error) {
+func (queuesCodec) Decode(items map[string]store.Item) (*policy.Policy, error) {
+	names := map[string]string{}
+	if err := json.Unmarshal(items["op/config"].Value, &names); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	p := &policy.Policy{Accounts: []policy.Account{
 		{Name: "a", Keys: []policy.Key{policy.Digest("key")}}, {Name: "b", Keys: []policy.Key{policy.Digest("second")}},
 	}}
-	for _, name := range []string{"q", "other", "open", "free"} {
+	for _, prefix := range []string{"q", "other", "open", "free"} {
+		name, named := names[prefix]
+		if !named {
+			name = prefix
+		}
+		if name == "" {
+			continue
+		}
 		p.Queues = append(p.Queues, policy.Queue{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Service: "s", Anonymous: name == "open" || name == "free",
+			Name: name, Host: "h", Prefix: "/" + prefix + "/", Service: "s", Anonymous: prefix == "open" || prefix == "free",
 		})
 	}
 	return p, nil
@@ -43,8 +57,9 @@
 type siteWithLeader struct {
 	siteWithPeers
 	client *memstore.Client
-	// earlier is set if the leader is of an earlier build, which does not tell a job's origin.
-	earlier bool
+	// earlier is set if the leader is of an earlier build, which does not tell a job's origin. noAddress is set if it is
+	// of one that does not tell the address of the job's queue.
+	earlier, noAddress bool
 }
 
 // JobState implements intake.Site.
@@ -56,6 +71,9 @@
 	state := relay.JobState{Leading: true, Known: true, State: graph.Running}
 	if job, err := coordinator.DecodeJob(item); err == nil && !s.earlier {
 		state.Origin = job.Origin()
+		if s.noAddress {
+			state.Origin.Address = policy.Address{}
+		}
 	}
 	return state, true
 }
@@ -63,10 +81,12 @@
 // originSites lists the sites on which each case is played: the VM reads states from the store or from a leader.
 var originSites = map[string]intake.Site{
 	"no leader": siteWithPeers{}, "leader": &siteWithLeader{}, "leader of an earlier build": &siteWithLeader{earlier: true},
+	"leader without addresses": &siteWithLeader{noAddress: true},
 }
 
-// TestCallsConcernTheirOrigin plays the cases of testdata/origins.script, on the VM itself and relayed.
-// Guards against LOST: a client without a key canceled the job of another queue, and saw its state.
+// TestCallsConcernTheirOrigin plays the cases of testdata/origins.script, on the VM itself and relayed. Guards
+// against LOST: a client without a key canceled the job of another queue, and saw its state. Guards against LOST and
+// UNASKED: a job was unknown and could not be canceled once its queue had another name.
 func TestCallsConcernTheirOrigin(t *testing.T) {
 	script, err := os.ReadFile("testdata/origins.script")
 	qt.Assert(t, err, qt.IsNil)
@@ -91,12 +111,29 @@
 	for _, line := range strings.Split(strings.TrimSpace(calls), "\n") {
 		call, want, _ := strings.Cut(line, ": ")
 		words := strings.Fields(call)
+		if words[0] == "NAME" {
+			v.nameQueues(t, words[1:])
+			continue
+		}
 		qt.Assert(t, words, qt.HasLen, 3)
 		a := v.request(strings.Trim(words[2], "-"), words[0], "/"+words[1]+"/"+jobID, relayed)
 		qt.Check(t, a.Kind.String(), qt.Equals, want, qt.Commentf("%s: %s", call, a.Reason))
 	}
 }
 
+// nameQueues puts a configuration in force in which queues have other names, given as PREFIX=NAME.
+func (v *vm) nameQueues(t *testing.T, pairs []string) {
+	names := map[string]string{}
+	for _, pair := range pairs {
+		prefix, name, _ := strings.Cut(pair, "=")
+		names[prefix] = name
+	}
+	value, err := json.Marshal(names)
+	qt.Assert(t, err, qt.IsNil)
+	v.service.Put("op/config", value)
+	time.Sleep(time.Second)
+}
+
 // movedCodec decodes a configuration whose value is the name of the only queue, which has a single key.
 type movedCodec struct{ codec }
 
@@ -108,8 +145,8 @@
 	}, nil
 }
 
-// TestOtherQueueNeedsProof guards against a denial by an outdated configuration (LOST): the path leads to another queue
-// meanwhile, to which the job was submitted at another VM.
+// TestOtherQueueNeedsProof guards against a denial by an outdated configuration (LOST): the path leads to another
+// queue meanwhile, to which the job was submitted at another VM of an earlier build, whose record has no address.
 func TestOtherQueueNeedsProof(t *testing.T) {
 	for _, method := range []string{"GET", "DELETE"} {
 		synctest.Test(t, func(t *testing.T) {
@@ -128,7 +165,8 @@
 }
 
 // TestWithdrawalOfEarlierBuild checks that the record of an earlier build, which has no queue, holds in all queues.
-// Guards against UNASKED during an update: a submission took effect after its caller was told that there is no such job.
+// Guards against UNASKED during an update: a submission took effect after its caller was told that there is no such
+// job.
 func TestWithdrawalOfEarlierBuild(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := newVMOnWithCodec(t, queuesCodec{}, 0, siteWithPeers{})
--- a/io/intake/show.go
+++ b/io/intake/show.go
@@ -20,10 +20,11 @@
 	if c.id == "" {
 		return i.showPending(ctx, c)
 	}
-	if job, answered := i.site.JobState(ctx, c.id); answered && job.Known && job.Origin.Queue != "" {
+	if job, answered := i.site.JobState(ctx, c.id); answered && job.Known && job.Origin.Address.Known() {
 		return c.showState(job.Origin, job.State)
 	}
-	// The leader may not answer, or may not yet have read a job that was only just accepted, so the store is read.
+	// The leader may not answer or not tell the queue's address, or may not yet have read a job that was only just
+	// accepted, so the store is read.
 	origin, state, err := i.storedState(ctx, c.id)
 	if errors.Is(err, store.ErrNotFound) {
 		return noJob
@@ -47,7 +48,12 @@
 	if !known || age > maxCountsAge {
 		return i.relayOrFallback(ctx, c, i.refusal("no leader has counted the jobs lately"))
 	}
-	return answer.Answer{Kind: answer.Pending, Pending: counts[c.queue.Name]}
+	count, counted := counts[c.queue.Key()]
+	if !counted {
+		// A leader of an earlier build counts by the queues' names.
+		count = counts[c.queue.Name]
+	}
+	return answer.Answer{Kind: answer.Pending, Pending: count}
 }
 
 // storedState returns the origin and the state of a job according to the store, or store.ErrNotFound. The progress is
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -166,7 +166,10 @@
 	}
 	return JobState{
 		Leading: reply.GetLeading(), Known: reply.GetKnown(), State: graph.State(reply.GetState()),
-		Origin: graph.Origin{Queue: reply.GetQueue(), ClientAccount: account.Name(reply.GetClientAccount())},
+		Origin: graph.Origin{
+			Queue: reply.GetQueue(), Address: policy.Address{Host: reply.GetHost(), Prefix: reply.GetPrefix()},
+			ClientAccount: account.Name(reply.GetClientAccount()),
+		},
 	}, nil
 }
 
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -1,5 +1,5 @@
-// Package relay implements the protocol between the VMs of a site. It carries the leader's heartbeats, announcements of
-// new configurations, and requests of callers that another VM can handle better.
+// Package relay implements the protocol between the VMs of a site. It carries the leader's heartbeats, announcements
+// of new configurations, and requests of callers that another VM can handle better.
 package relay
 
 import (
@@ -33,7 +33,7 @@
 	Fence store.Revision
 	// Policy is the newest configuration that the sender knows. A receiver with an older one asks for it.
 	Policy policywatch.Version
-	// Pending holds, for each queue, the number of jobs of which no task has started.
+	// Pending holds, by the queues' keys, the number of jobs of which no task has started.
 	Pending map[string]int
 	// Members lists the VMs of the site, the sender included. The sender omits the list if the list has not changed
 	// since it was last sent to the receiver.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -25,8 +25,8 @@
 	"auburnstack/io/store"
 )
 
-// Handler answers the messages of other VMs. Each method of Handler answers the messages that are sent by the method of
-// Peer with the same name.
+// Handler answers the messages of other VMs. Each method of Handler answers the messages that are sent by the method
+// of Peer with the same name.
 type Handler interface {
 	Exchange(heartbeat Heartbeat) HeartbeatReply
 	Configuration(request PolicyRequest) PolicyReply
@@ -138,6 +138,7 @@
 	return &relaypb.Answer{
 		Leading: job.Leading, Known: job.Known, State: string(job.State),
 		Queue: job.Origin.Queue, ClientAccount: string(job.Origin.ClientAccount),
+		Host: job.Origin.Address.Host, Prefix: job.Origin.Address.Prefix,
 	}, nil
 }
 
