--- a/core/jobmemory/account.go
+++ b/core/jobmemory/account.go
@@ -18,13 +18,12 @@
 	// program itself (28 MB), the connections to workers, and the records that a new leader reads.
 	totalShare = 0.45
 	largeShare = 0.25
-	// reservationTime is the time after which a job that was admitted, and that the leader has not read, is forgotten.
-	// It is longer than the time within which a submission is stored and read, also by a slow link.
+	// reservationTime is the time after which a job that was admitted, and that the leader has not read, is forgotten. It
+	// is longer than the time within which a submission is stored and read, also by a slow link.
 	reservationTime = 10 * time.Second
 	// allowanceParts divides the free memory among the VMs: together they use at most half of it between two heartbeats.
 	allowanceParts = 2
-	// initialParts is the part of the limit that VMs may use while nothing is known about the jobs that the leader
-	// holds.
+	// initialParts is the part of the limit that VMs may use while nothing is known about the jobs that the leader holds.
 	initialParts = 16
 )
 
@@ -49,14 +48,14 @@
 	return l
 }
 
-// Initial returns what each of the given number of VMs may accept by itself while nothing is known about the jobs
-// that the leader holds.
+// Initial returns what each of the given number of VMs may accept by itself while nothing is known about the jobs that
+// the leader holds.
 func (l Limit) Initial(vms int) Allowance {
 	return Allowance{Limited: l > 0, Bytes: int64(l) / int64(initialParts*max(vms, 1))}
 }
 
-// submission identifies a job that was admitted. Submissions of several origins may have the same ID until one of
-// them is stored.
+// submission identifies a job that was admitted. Submissions of several origins may have the same ID until one of them
+// is stored.
 type submission struct {
 	id     graph.ID
 	origin graph.Origin
--- a/core/planner/drain.go
+++ b/core/planner/drain.go
@@ -9,8 +9,8 @@
 const (
 	// drainMargin is the time before the announced shutdown of a worker by which its runs must have ended.
 	drainMargin = 500 * time.Millisecond
-	// hopelessExcess is the least time by which a run without checkpoints must be expected to outlast its worker before
-	// it is stopped. Durations are estimates, and many workers stay longer than they announce.
+	// hopelessExcess is the least time by which a run without checkpoints must be expected to outlast its worker before it
+	// is stopped. Durations are estimates, and many workers stay longer than they announce.
 	hopelessExcess = 1500 * time.Millisecond
 )
 
@@ -53,8 +53,8 @@
 	}
 }
 
-// expectedRemainder returns the time that a running unit still needs: by the progress that its tasks have reported,
-// or by the caller's estimate before that.
+// expectedRemainder returns the time that a running unit still needs: by the progress that its tasks have reported, or
+// by the caller's estimate before that.
 func (p *Planner) expectedRemainder(u *unit, now time.Time) time.Duration {
 	total := p.estimator.expect(u.job.queueKey, u.spec().Estimate)
 	remainder := total - now.Sub(u.startedAt)
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// lateFactor is the multiple of a job's objective, the time within which the job should finish, after which a
-// finished job earns no reward.
+// lateFactor is the multiple of a job's objective, the time within which the job should finish, after which a finished
+// job earns no reward.
 const lateFactor = 3
 
 // waitingStep holds the waiting units of a step of one occurrence, with the sort keys that they share.
@@ -108,8 +108,7 @@
 	}
 }
 
-// last returns the result of a comparison with a step that differs in a condition, the fulfillment of which comes
-// last.
+// last returns the result of a comparison with a step that differs in a condition, the fulfillment of which comes last.
 func last(fulfilled bool) int {
 	if fulfilled {
 		return 1
--- a/core/planner/speedplace.go
+++ b/core/planner/speedplace.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// urgentSpeed is the least relative speed of a worker that is fast enough for a unit of priority 0. With an
-	// objective of 1.5 times the work, one at 0.6 makes a unit late even if it starts at once, and one at 0.77 does not.
-	// With 0.85, an overloaded site (association, heavy) where a third of the workers has 0.77 of the speed of the
-	// others earned 0.725 of its worth instead of 0.752, because the search for faster workers split up whole racks.
+	// urgentSpeed is the least relative speed of a worker that is fast enough for a unit of priority 0. With an objective
+	// of 1.5 times the work, one at 0.6 makes a unit late even if it starts at once, and one at 0.77 does not. With 0.85,
+	// an overloaded site (association, heavy) where a third of the workers has 0.77 of the speed of the others earned
+	// 0.725 of its worth instead of 0.752, because the search for faster workers split up whole racks.
 	urgentSpeed = 0.75
 	// leastSpeed is the least speed that is asked for. No worker is slower for long.
 	leastSpeed = 0.3
@@ -118,8 +118,8 @@
 	level  speedLevel
 }
 
-// preference orders candidates: first those that are fast enough, the slowest of them first, then the others, the
-// more probable ones first.
+// preference orders candidates: first those that are fast enough, the slowest of them first, then the others, the more
+// probable ones first.
 func (c *rankedCandidate) preference() int {
 	if c.chance >= sufficientChance {
 		return int(c.level)
--- a/core/planner/stall.go
+++ b/core/planner/stall.go
@@ -25,8 +25,8 @@
 }
 
 // stalled reports whether a running task is unfinished and has made no progress for its stall timeout. Only the
-// worker's reports show this, by the worker's own clock: while a worker is silent or its reports are delayed, its
-// tasks may work.
+// worker's reports show this, by the worker's own clock: while a worker is silent or its reports are delayed, its tasks
+// may work.
 func (p *Planner) stalled(m *member) bool {
 	if m.state != active || m.unit.phase != running || m.percent < 0 || m.percent >= fullPercent {
 		return false
@@ -38,8 +38,8 @@
 	return p.withoutProgress(m) && !p.waitsForOthers(m)
 }
 
-// waitsForOthers reports whether a member of a gang has done its own work and waits for a member that is slower. Such
-// a member is behind, or has made progress within its stall timeout. If it makes none, it is stalled itself.
+// waitsForOthers reports whether a member of a gang has done its own work and waits for a member that is slower. Such a
+// member is behind, or has made progress within its stall timeout. If it makes none, it is stalled itself.
 func (p *Planner) waitsForOthers(m *member) bool {
 	if m.percent < almostDone {
 		return false
--- a/core/planner/takeover_test.go
+++ b/core/planner/takeover_test.go
@@ -53,8 +53,8 @@
 	qt.Check(t, second.jobs["job"].units[0][0][0].failures, qt.Equals, 1)
 }
 
-// TestTakeoverCountsStopsThatAreDue guards against work that a new leader stops in vain for an urgent unit, although
-// the runs of an ended job, which it has just ordered to stop, leave room below the account's limit.
+// TestTakeoverCountsStopsThatAreDue guards against work that a new leader stops in vain for an urgent unit, although the
+// runs of an ended job, which it has just ordered to stop, leave room below the account's limit.
 func TestTakeoverCountsStopsThatAreDue(t *testing.T) {
 	for _, ended := range []string{"before the takeover", "in the takeover"} {
 		first, list, now := newLimitedPlanner(limitedPolicy("gold", 8), 3)
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -1,6 +1,6 @@
-// Package coordinator carries out the planner's decisions while its VM leads the site: it reads accepted jobs from
-// the store, records their progress there, and sends orders to workers. One goroutine, the control goroutine, owns
-// the state of a term. Other goroutines call the store and the workers, and report the results to it as events.
+// Package coordinator carries out the planner's decisions while its VM leads the site: it reads accepted jobs from the
+// store, records their progress there, and sends orders to workers. One goroutine, the control goroutine, owns the
+// state of a term. Other goroutines call the store and the workers, and report the results to it as events.
 package coordinator
 
 import (
--- a/io/coordinator/event.go
+++ b/io/coordinator/event.go
@@ -15,8 +15,8 @@
 	isEvent()
 }
 
-// workersChanged carries all valid worker registrations, as last read from the store, and the last state of those
-// that were removed since. The store still had them at the time readAt.
+// workersChanged carries all valid worker registrations, as last read from the store, and the last state of those that
+// were removed since. The store still had them at the time readAt.
 type workersChanged struct {
 	workers, removed []roster.Worker
 	readAt           time.Time
--- a/io/coordinator/keys.go
+++ b/io/coordinator/keys.go
@@ -31,8 +31,8 @@
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id graph.ID) string { return cancelPrefix + string(id) }
 
-// WithdrawnKey returns the key that says that a job was canceled before it was accepted. A submission takes effect
-// only if the key is absent, or does not concern the submission.
+// WithdrawnKey returns the key that says that a job was canceled before it was accepted. A submission takes effect only
+// if the key is absent, or does not concern the submission.
 func WithdrawnKey(id graph.ID) string { return withdrawnPrefix + string(id) }
 
 // Withdrawal is the value of a WithdrawnKey.
@@ -113,8 +113,8 @@
 	return progress, nil
 }
 
-// decodeInbox decodes items into jobs and cancellations. It reports and skips a job that can't be decoded, so that
-// the other jobs are still decoded.
+// decodeInbox decodes items into jobs and cancellations. It reports and skips a job that can't be decoded, so that the
+// other jobs are still decoded.
 func decodeInbox(items []store.Item, report func(error)) jobsAccepted {
 	var found jobsAccepted
 	for _, item := range items {
--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -1,5 +1,5 @@
-// Package intake answers callers: it accepts jobs, cancels them and reports their states. Every VM answers callers,
-// not only the leader; a VM that does not reach the store relays requests to other VMs.
+// Package intake answers callers: it accepts jobs, cancels them and reports their states. Every VM answers callers, not
+// only the leader; a VM that does not reach the store relays requests to other VMs.
 package intake
 
 import (
@@ -78,13 +78,13 @@
 	log        hclog.Logger
 	// coding has a place for each submission that is being decoded or encoded.
 	coding chan struct{}
-	// lastRelayed is the reading of the watcher's clock, in nanoseconds, when another VM last answered a request that
-	// this VM relayed; policywatch.Never if none has.
+	// lastRelayed is the reading of the watcher's clock, in nanoseconds, when another VM last answered a request that this
+	// VM relayed; policywatch.Never if none has.
 	lastRelayed atomic.Int64
 }
 
-// New returns an intake that reads configurations from the watcher and stores jobs in the store s, whose values have
-// at most valueLimit bytes. 0 means that there is no limit. applyLimit is the time within which a change of the
+// New returns an intake that reads configurations from the watcher and stores jobs in the store s, whose values have at
+// most valueLimit bytes. 0 means that there is no limit. applyLimit is the time within which a change of the
 // configuration must be in force.
 func New(
 	s *store.Monitor, codec Codec, watcher *policywatch.Watcher, site Site, applyLimit time.Duration, valueLimit int,
@@ -98,8 +98,7 @@
 	return i
 }
 
-// call is a request that is being handled, with its queue, client account and job as far as they have been
-// determined.
+// call is a request that is being handled, with its queue, client account and job as far as they have been determined.
 type call struct {
 	relay.Request
 	// relayed is set when another VM has relayed the request to this VM.
@@ -162,8 +161,8 @@
 }
 
 // handle checks a request against the current configuration and carries it out. It relays the request if the
-// configuration may be outdated, or if the store does not answer. Submissions and cancellations that the
-// configuration allows need no proof that it is the newest: their transactions require it.
+// configuration may be outdated, or if the store does not answer. Submissions and cancellations that the configuration
+// allows need no proof that it is the newest: their transactions require it.
 func (i *Intake) handle(ctx context.Context, c *call) answer.Answer {
 	c.snapshot = i.watcher.Current()
 	if c.snapshot.Policy == nil {
--- a/io/intake/origin.go
+++ b/io/intake/origin.go
@@ -8,9 +8,8 @@
 // noJob is the answer to a call about a job that its queue does not have.
 var noJob = answer.Answer{Kind: answer.NoJob, Reason: "no such job was accepted"}
 
-// rejectOther returns the answer to a call whose ID is that of another queue's or another account's job, and true.
-// Such a call must neither show nor change the job: a queue may be open to callers who have no access to the job's
-// queue.
+// rejectOther returns the answer to a call whose ID is that of another queue's or another account's job, and true. Such
+// a call must neither show nor change the job: a queue may be open to callers who have no access to the job's queue.
 func (c *call) rejectOther(origin graph.Origin) (answer.Answer, bool) {
 	switch {
 	case !origin.SameQueue(c.origin()):
@@ -27,8 +26,8 @@
 	return graph.Origin{Queue: c.queue.Name, Address: c.queue.Address(), ClientAccount: c.account}
 }
 
-// canceledOrigin returns the origin of the submissions that a cancellation concerns: those of the caller's account,
-// or of any caller in a queue that asks for no key.
+// canceledOrigin returns the origin of the submissions that a cancellation concerns: those of the caller's account, or
+// of any caller in a queue that asks for no key.
 func (c *call) canceledOrigin() graph.Origin {
 	origin := c.origin()
 	if c.queue.Anonymous {
--- a/io/intake/origin_test.go
+++ b/io/intake/origin_test.go
@@ -165,8 +165,7 @@
 }
 
 // TestWithdrawalOfEarlierBuild checks that the record of an earlier build, which has no queue, holds in all queues.
-// Guards against UNASKED during an update: a submission took effect after its caller was told that there is no such
-// job.
+// Guards against UNASKED during an update: a submission took effect after its caller was told that there is no such job.
 func TestWithdrawalOfEarlierBuild(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := newVMOnWithCodec(t, queuesCodec{}, 0, siteWithPeers{})
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -1,5 +1,5 @@
-// Package relay implements the protocol between the VMs of a site. It carries the leader's heartbeats, announcements
-// of new configurations, and requests of callers that another VM can handle better.
+// Package relay implements the protocol between the VMs of a site. It carries the leader's heartbeats, announcements of
+// new configurations, and requests of callers that another VM can handle better.
 package relay
 
 import (
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -25,8 +25,8 @@
 	"auburnstack/io/store"
 )
 
-// Handler answers the messages of other VMs. Each method of Handler answers the messages that are sent by the method
-// of Peer with the same name.
+// Handler answers the messages of other VMs. Each method of Handler answers the messages that are sent by the method of
+// Peer with the same name.
 type Handler interface {
 	Exchange(heartbeat Heartbeat) HeartbeatReply
 	Configuration(request PolicyRequest) PolicyReply
--- a/io/relay/server_test.go
+++ b/io/relay/server_test.go
@@ -46,8 +46,8 @@
 	return knownJob
 }
 
-// TestPanicEndsOneCall checks that a call whose handling panics gets an error, and that the server goes on serving.
-// The outcome of a relayed request is then unknown: the handler may have acted before it failed.
+// TestPanicEndsOneCall checks that a call whose handling panics gets an error, and that the server goes on serving. The
+// outcome of a relayed request is then unknown: the handler may have acted before it failed.
 func TestPanicEndsOneCall(t *testing.T) {
 	var config net.ListenConfig
 	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/io/site/members.go
+++ b/io/site/members.go
@@ -69,9 +69,9 @@
 	m.seeds = seeds
 }
 
-// handleHeartbeat updates the state from a heartbeat. A heartbeat without a fencing token comes from a VM that does
-// not lead; handleHeartbeat only records the time of that contact. A heartbeat with an outdated fencing token is
-// ignored. handleHeartbeat reports whether the heartbeat comes from a VM that leads.
+// handleHeartbeat updates the state from a heartbeat. A heartbeat without a fencing token comes from a VM that does not
+// lead; handleHeartbeat only records the time of that contact. A heartbeat with an outdated fencing token is ignored.
+// handleHeartbeat reports whether the heartbeat comes from a VM that leads.
 func (m *members) handleHeartbeat(h relay.Heartbeat) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -200,8 +200,8 @@
 	}
 }
 
-// leader returns the leader with the highest fencing token that this VM has seen; the second result is false when
-// this VM has seen no leader.
+// leader returns the leader with the highest fencing token that this VM has seen; the second result is false when this
+// VM has seen no leader.
 func (m *members) leader() (relay.Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -254,8 +254,8 @@
 	return list
 }
 
-// policySources returns the addresses of the VMs to ask for the configuration: the leader and some other members or,
-// if there are none, the seeds.
+// policySources returns the addresses of the VMs to ask for the configuration: the leader and some other members or, if
+// there are none, the seeds.
 func (m *members) policySources() []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
