--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -22,8 +22,8 @@
 	// Queue is the name of the queue that accepted the job, as it was then.
 	Queue string
 	// AcceptedBy is the queue as the policy defined it when the job was accepted. The queue with the same address in the
-	// current policy defines the job's priority, limits and service; AcceptedBy applies while there is none. It is empty
-	// in records of earlier builds.
+	// current policy defines the job's priority, limits and service. AcceptedBy applies only if there is none and no later
+	// settings of the queue are known. It is empty in records of earlier builds.
 	AcceptedBy policy.Queue `json:",omitzero"`
 	// Spec is passed to the workers unchanged.
 	Spec  string
--- a/core/planner/baseline.go
+++ b/core/planner/baseline.go
@@ -89,7 +89,7 @@
 
 // expectedWork returns the sum of the expected durations of a unit's tasks.
 func (p *Planner) expectedWork(u *unit) time.Duration {
-	return p.estimator.expect(u.job.queueKey, u.spec().Estimate) * time.Duration(u.size())
+	return p.estimator.expect(u.job.queue.key, u.spec().Estimate) * time.Duration(u.size())
 }
 
 // sortForFit sorts candidates into the order in which the fit policy gives them tasks.
--- a/core/planner/capacity.go
+++ b/core/planner/capacity.go
@@ -50,10 +50,7 @@
 		if fits() {
 			return
 		}
-		since := u.waitingSince
-		p.withdraw(u)
-		p.enqueue(u, now)
-		u.waitingSince = since
+		p.placeAgain(u, now)
 	}
 }
 
--- a/core/planner/drain.go
+++ b/core/planner/drain.go
@@ -56,7 +56,7 @@
 // expectedRemainder returns the time that a running unit still needs: by the progress that its tasks have reported, or
 // by the caller's estimate before that.
 func (p *Planner) expectedRemainder(u *unit, now time.Time) time.Duration {
-	total := p.estimator.expect(u.job.queueKey, u.spec().Estimate)
+	total := p.estimator.expect(u.job.queue.key, u.spec().Estimate)
 	remainder := total - now.Sub(u.startedAt)
 	for _, m := range u.members {
 		if m.percent <= 0 || m.state != active {
--- a/core/planner/end.go
+++ b/core/planner/end.go
@@ -86,7 +86,7 @@
 		m.worker.health.succeeded()
 		p.observeDuration(m, now)
 		p.watchEnd(m, now)
-		p.estimator.observe(m.unit.job.queueKey, m.unit.spec().Estimate, now.Sub(m.unit.startedAt))
+		p.estimator.observe(m.unit.job.queue.key, m.unit.spec().Estimate, now.Sub(m.unit.startedAt))
 	case EndFailed:
 		m.worker.health.failed(m.unit.job.ID, now)
 	default:
--- a/core/planner/headroom.go
+++ b/core/planner/headroom.go
@@ -29,6 +29,7 @@
 // arrival is the number of accelerators that an urgent job asked for when it arrived.
 type arrival struct {
 	at           time.Time
+	queue        *queue
 	holding      *holding
 	accelerators int64
 }
@@ -41,17 +42,21 @@
 			sum += job.Steps[i].Needs.Accelerators * int64(job.Steps[i].Tasks)
 		}
 	}
-	h.arrivals = append(h.arrivals, arrival{at: now, holding: job.holding, accelerators: sum})
+	h.arrivals = append(h.arrivals, arrival{at: now, queue: job.queue, holding: job.holding, accelerators: sum})
 }
 
-// target returns the number of accelerators to keep free, given the total number of accelerators of a service.
-func (h *headroom) target(total int64, now time.Time) int64 {
+// target returns the number of accelerators of a service to keep free, given their total number. Arrivals count for the
+// service that their queue uses now, if they are still urgent.
+func (h *headroom) target(service string, total int64, now time.Time) int64 {
 	for len(h.arrivals) > 0 && now.Sub(h.arrivals[0].at) > headroomWindow {
 		h.arrivals = h.arrivals[1:]
 	}
 	var sum int64
 	var limited map[*holding]int64
 	for _, a := range h.arrivals {
+		if a.queue.Priority != 0 || a.queue.Service != service {
+			continue
+		}
 		if !a.holding.limited {
 			sum += a.accelerators
 			continue
@@ -130,7 +135,7 @@
 	if !p.hasUrgentQueue(service) || !p.prefersUrgent() {
 		return &spareCapacity{available: free, ceiling: total, free: free, total: total}
 	}
-	target := p.headroom.target(total, now)
+	target := p.headroom.target(service, total, now)
 	available := free - target
 	if slow > 0 {
 		// Urgent units don't need the workers that are too slow for them.
--- a/core/planner/holding.go
+++ b/core/planner/holding.go
@@ -165,10 +165,19 @@
 	h.reserved = h.reserved.Add(needs)
 	m.share = h.share(m.worker.Service)
 	m.share.held = m.share.held.Add(needs)
-	m.lesser = m.unit.job.queue.Priority > 0
-	if m.lesser {
+	m.countLesser()
+}
+
+// countLesser counts the member in holding.lesser if its queue has a priority above 0 now, and takes it out otherwise.
+func (m *member) countLesser() {
+	lesser := m.unit.job.queue.Priority > 0
+	switch h := m.unit.job.holding; {
+	case lesser && !m.lesser:
 		h.lesser++
+	case !lesser && m.lesser:
+		h.lesser--
 	}
+	m.lesser = lesser
 }
 
 // holdOrdered counts a reserved member as running.
--- a/core/planner/job.go
+++ b/core/planner/job.go
@@ -13,9 +13,8 @@
 // jobState is a job with its units and its current state.
 type jobState struct {
 	*graph.Job
-	queue policy.Queue
-	// queueKey is the key of the queue, or the name of a queue that the policy lacks.
-	queueKey string
+	// queue is the job's queue with its settings as they are now.
+	queue *queue
 	// holding is the state of the job's client account.
 	holding *holding
 	// withinRateAt is the time from which on the job is within the rate at which its account may submit jobs.
@@ -62,6 +61,8 @@
 	p.jobs[job.ID] = j
 	p.footprint += job.Footprint()
 	j.holding.unfinished++
+	j.queue.jobs++
+	j.queue.unfinished++
 	if job.Recurrence != nil {
 		p.recurring[job.ID] = j
 	}
@@ -70,7 +71,7 @@
 
 func (p *Planner) newJob(job *graph.Job) *jobState {
 	j := &jobState{Job: job, state: graph.Queued, stored: graph.Queued, stopCounts: map[StopReason]int{}}
-	p.setQueue(j, p.queueOf(job))
+	j.queue = p.queueOf(job)
 	j.holding = p.holdingOf(job.ClientAccount)
 	j.units = make([][][]*unit, job.Occurrences())
 	for occurrence := range j.units {
@@ -91,20 +92,6 @@
 	return j
 }
 
-// setQueue sets the queue whose settings apply to a job.
-func (p *Planner) setQueue(j *jobState, queue policy.Queue) {
-	j.queue, j.queueKey = queue, cmp.Or(queue.Key(), j.Queue)
-	p.anyAdvised = p.anyAdvised || queue.Advice != nil
-}
-
-// queueOf returns the queue of a job. A job whose queue the operators have removed goes on as it was accepted.
-func (p *Planner) queueOf(job *graph.Job) policy.Queue {
-	if queue, found := p.queues.Find(job.AcceptedBy.Address(), job.Queue); found {
-		return queue
-	}
-	return job.AcceptedBy
-}
-
 // findUnit returns the unit that contains a task, or nil if the job has no such task.
 func (j *jobState) findUnit(occurrence, step, index int) *unit {
 	if occurrence < 0 || occurrence >= len(j.units) || step < 0 || step >= len(j.Steps) {
@@ -206,11 +193,17 @@
 // setFinal sets the state of a job that ends.
 func (j *jobState) setFinal(state graph.State, now time.Time) {
 	if !j.state.Final() {
-		j.holding.unfinished--
+		j.countEnded()
 	}
 	j.state, j.ended = state, now
 }
 
+// countEnded takes the job out of the numbers of unfinished jobs.
+func (j *jobState) countEnded() {
+	j.holding.unfinished--
+	j.queue.unfinished--
+}
+
 // markDirty marks a part of a job's progress as changed, so that TakeChanges returns it.
 func (p *Planner) markDirty(changed *part) {
 	p.changes++
@@ -260,6 +253,14 @@
 	u.phase = blocked
 }
 
+// placeAgain withdraws a placement that may not start. Its unit waits on, as if it had not been placed.
+func (p *Planner) placeAgain(u *unit, now time.Time) {
+	since := u.waitingSince
+	p.withdraw(u)
+	p.enqueue(u, now)
+	u.waitingSince = since
+}
+
 // Forgotten is a job that the planner no longer has.
 type Forgotten struct {
 	ID graph.ID
@@ -279,6 +280,7 @@
 			continue
 		}
 		delete(p.jobs, id)
+		j.queue.jobs--
 		p.footprint -= j.Footprint()
 		p.forgetAdvice(id)
 		forgotten = append(forgotten, Forgotten{ID: id, Parts: len(j.parts), Accepted: j.Accepted})
@@ -335,7 +337,7 @@
 	pending := map[string]int{}
 	for _, j := range p.jobs {
 		if !j.started && !j.state.Final() {
-			pending[j.queueKey]++
+			pending[j.queue.key]++
 		}
 	}
 	return pending
@@ -347,7 +349,7 @@
 	if !known {
 		return policy.Queue{}, false
 	}
-	return j.queue, true
+	return j.queue.Queue, true
 }
 
 // Has reports whether the planner has the job, in any state.
--- a/core/planner/kind.go
+++ b/core/planner/kind.go
@@ -11,19 +11,24 @@
 
 // suits reports whether a worker belongs to the service of a unit's queue and has the label that the unit needs.
 func (u *unit) suits(w *worker) bool {
+	return w.Service == u.job.queue.Service && u.hasLabel(w)
+}
+
+// hasLabel reports whether a worker has the label that the unit needs.
+func (u *unit) hasLabel(w *worker) bool {
 	label := u.spec().Label
-	return w.Service == u.job.queue.Service && (label == "" || w.HasLabel(label))
+	return label == "" || w.HasLabel(label)
 }
 
-// Suits reports whether the worker of a start belongs to the service of the task's queue and has the label that the
-// task needs, according to the worker's newest known registration.
+// Suits reports whether the worker of a start still belongs to the service for which it was chosen and has the label
+// that the task needs, according to the worker's newest known registration.
 func (p *Planner) Suits(start Start) bool {
 	w, known := p.workers[start.Worker]
 	if !known {
 		return false
 	}
 	m := p.lookup(w, start.Task, start.Run)
-	return m == nil || m.unit.suits(w)
+	return m == nil || m.share.service == w.Service && m.unit.hasLabel(w)
 }
 
 // sameKind reports whether two registrations of a worker name the same service and the same labels.
--- a/core/planner/limit.go
+++ b/core/planner/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"auburnstack/core/resources"
 )
@@ -131,14 +130,6 @@
 		missing.Accelerators > 0 && gain.Accelerators > 0
 }
 
-// withdrawForLimit withdraws a placement whose start its account's limit does not allow, and makes the unit wait again.
-func (p *Planner) withdrawForLimit(u *unit, now time.Time) {
-	since := u.waitingSince
-	p.withdraw(u)
-	p.enqueue(u, now)
-	u.waitingSince = since
-}
-
 // withdrawOverLimits withdraws the placements that do not fit the limits of their accounts any more because the limits
 // were lowered. The most urgent placements stay.
 func (p *Planner) withdrawOverLimits() {
@@ -160,7 +151,7 @@
 		if fits() {
 			return
 		}
-		p.withdrawForLimit(u, p.now)
+		p.placeAgain(u, p.now)
 	}
 }
 
--- a/core/planner/limit_test.go
+++ b/core/planner/limit_test.go
@@ -320,9 +320,9 @@
 	for i := range 20 {
 		p.Submit(simpleJob(fmt.Sprintf("hot-%02d", i), "urgent", "gold", 1, 8, now), now)
 	}
-	qt.Check(t, p.headroom.target(80, now), qt.Equals, int64(8))
+	qt.Check(t, p.headroom.target("assay", 80, now), qt.Equals, int64(8))
 	p.Submit(simpleJob("other", "urgent", "silver", 1, 8, now), now)
-	qt.Check(t, p.headroom.target(80, now), qt.Equals, int64(8+6))
+	qt.Check(t, p.headroom.target("assay", 80, now), qt.Equals, int64(8+6))
 }
 
 // workerOf returns the worker of a job's first task.
--- a/core/planner/lostrule_test.go
+++ b/core/planner/lostrule_test.go
@@ -203,14 +203,18 @@
 		p.Submit(simpleJob(fmt.Sprintf("used-%d", i), "urgent", "silver", 3, 3, now), now)
 	}
 	settle(p, now)
-	silver := p.jobs["used-0"].holding
-	p.headroom.arrivals = append(p.headroom.arrivals, arrival{at: now, holding: silver, accelerators: 60})
+	silver := p.jobs["used-0"]
+	p.headroom.arrivals = append(p.headroom.arrivals, arrival{
+		at: now, queue: silver.queue, holding: silver.holding, accelerators: 60,
+	})
 	p.Submit(job, now)
 	settle(p, now)
 	qt.Check(t, p.jobs["gang"].firstStart.IsZero(), qt.IsTrue)
 	for range 29 {
 		now = now.Add(100 * time.Millisecond)
-		p.headroom.arrivals = append(p.headroom.arrivals, arrival{at: now, holding: silver, accelerators: 10})
+		p.headroom.arrivals = append(p.headroom.arrivals, arrival{
+			at: now, queue: silver.queue, holding: silver.holding, accelerators: 10,
+		})
 		for i := range list {
 			p.LeaseRenewed(list[i].Name, now)
 		}
--- a/core/planner/order.go
+++ b/core/planner/order.go
@@ -76,7 +76,7 @@
 		begin = due
 	}
 	objective := p.objective(u.job)
-	work := p.estimator.expect(u.job.queueKey, u.spec().Estimate)
+	work := p.estimator.expect(u.job.queue.key, u.spec().Estimate)
 	priority := u.job.queue.Priority
 	if u.urgent() {
 		priority = 0
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -205,7 +205,7 @@
 			p.suspendOverdue(u, now)
 			if !u.job.holding.allowsRecord(u.needs()) {
 				// The stops that the account's limit requires are overdue. The unit must not hold its workers any longer.
-				p.withdrawForLimit(u, now)
+				p.placeAgain(u, now)
 				continue
 			}
 		}
--- a/core/planner/planner.go
+++ b/core/planner/planner.go
@@ -49,14 +49,16 @@
 type Planner struct {
 	settings Settings
 	policy   *policy.Policy
-	// queues finds the queues of the policy.
-	queues  *policy.QueueIndex
-	workers map[endpoint.Name]*worker
+	// queueIndex finds the queues of the policy.
+	queueIndex *policy.QueueIndex
+	workers    map[endpoint.Name]*worker
 	// workersByName lists the workers sorted by name, which makes decisions deterministic.
 	workersByName []*worker
 	// anyRetired is set if a worker may be retired. anyAdvised is set if a job may be in a queue with advice.
 	anyRetired, anyAdvised bool
 	jobs                   map[graph.ID]*jobState
+	// queues holds the queues of all jobs.
+	queues map[queueRef]*queue
 	// holdings holds the state of all client accounts in the policy and in jobs.
 	holdings map[account.Name]*holding
 	// anyLimited and anyWeighted are set if the policy in force has an account with a limit or a weight.
@@ -104,7 +106,9 @@
 	// examineLimit is maxExamined, but for tests. lastExamined is the number of workers and running tasks that the last
 	// call of Plan has examined to place units.
 	examineLimit, lastExamined int
-	estimator                  *estimator
+	// lastApplied is the number of queues, placed tasks and waiting units that the last call of SetPolicy has examined.
+	lastApplied int
+	estimator   *estimator
 	// advice holds, for each step, the adviser's answers about the workers that may run the step.
 	advice       map[graph.StepID]*advice
 	consultation consultation
@@ -126,9 +130,10 @@
 	planner := &Planner{
 		settings:         settings,
 		policy:           p,
-		queues:           policy.NewQueueIndex(p),
+		queueIndex:       policy.NewQueueIndex(p),
 		workers:          map[endpoint.Name]*worker{},
 		jobs:             map[graph.ID]*jobState{},
+		queues:           map[queueRef]*queue{},
 		holdings:         map[account.Name]*holding{},
 		recurring:        map[graph.ID]*jobState{},
 		waiting:          map[*unit]struct{}{},
@@ -149,22 +154,17 @@
 	return planner
 }
 
-// SetPolicy replaces the policy in force, which is the operators' configuration. Jobs that the planner already has
-// keep the settings of their queue, except jobs whose queue was missing from the earlier policy: these take the
-// settings from the new policy.
-func (p *Planner) SetPolicy(next *policy.Policy) {
-	p.policy, p.queues = next, policy.NewQueueIndex(next)
+// SetPolicy replaces the policy in force, which is the operators' configuration. All jobs follow the settings of their
+// queue, except for runs that were ordered to start: these go on. SetPolicy returns the changes of such settings.
+func (p *Planner) SetPolicy(next *policy.Policy) []QueueChange {
+	p.policy, p.queueIndex = next, policy.NewQueueIndex(next)
 	p.needsPlacement = true
 	if p.applyAccounts() {
 		// Units that the current round has tried may fit now.
 		p.round = nil
 		p.withdrawOverLimits()
 	}
-	for _, j := range p.jobs {
-		if j.queue.Name == "" {
-			p.setQueue(j, p.queueOf(j.Job))
-		}
-	}
+	return p.applyQueues()
 }
 
 // leaseEnd returns the time at which a lease that was renewed at the given time has expired, whatever the drift of
--- a/core/planner/property_test.go
+++ b/core/planner/property_test.go
@@ -11,6 +11,7 @@
 	"auburnstack/core/domain"
 	"auburnstack/core/endpoint"
 	"auburnstack/core/graph"
+	"auburnstack/core/policy"
 	"auburnstack/core/resources"
 	"auburnstack/core/roster"
 )
@@ -53,6 +54,11 @@
 	shrunk map[endpoint.Name]resources.Amounts
 	// storeDown is set while no change can be stored.
 	storeDown bool
+	// policy is in force. formerQueues holds the settings of removed queues that were stored last.
+	policy       *policy.Policy
+	formerQueues []FormerQueue
+	// checkFurther checks each start order in tests that have more to check.
+	checkFurther func(Start)
 }
 
 const (
@@ -76,7 +82,8 @@
 	}
 	w.settings = testSettings()
 	w.settings.LearnSpeeds = rapid.Bool().Draw(t, "learn speeds")
-	w.planner = New(w.settings, testPolicy())
+	w.policy = testPolicy()
+	w.planner = New(w.settings, w.policy)
 	w.planner.partTasks = smallPartTasks
 	for i := range 6 {
 		name := endpoint.Name(fmt.Sprintf("worker-%d", i))
@@ -213,6 +220,7 @@
 		var changes []Change
 		if !w.storeDown {
 			changes = w.planner.TakeChanges(maxStoredAtOnce)
+			w.formerQueues = w.planner.FormerQueues()
 		}
 		for _, c := range changes {
 			w.stored[c.Progress.ID] = withPart(w.stored[c.Progress.ID], c.Progress)
@@ -241,6 +249,9 @@
 		return
 	}
 	w.checkStart(a)
+	if w.checkFurther != nil {
+		w.checkFurther(a)
+	}
 	w.running[a.Worker][a.Task] = a
 	delete(w.stopping, a.Task)
 	w.planner.StartAnswered(a, Accepted, w.now)
@@ -337,14 +348,20 @@
 			Needs: resources.Amounts{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n},
 		}},
 	}
+	accepted, found := policy.NewQueueIndex(w.policy).Find(policy.Address{}, job.Queue)
+	if !found {
+		return
+	}
+	job.AcceptedBy = accepted
 	w.jobs[id] = job
 	w.planner.Submit(job, w.now)
 }
 
-// takeover replaces the planner with a new one that knows only the stored progress.
+// takeover replaces the planner with a new one that knows only what is stored.
 func (w *simulatedSite) takeover() {
-	w.planner = New(w.settings, testPolicy())
+	w.planner = New(w.settings, w.policy)
 	w.planner.partTasks = smallPartTasks
+	w.planner.RestoreQueues(w.formerQueues)
 	w.setWorkers()
 	for id, job := range w.jobs {
 		if progress, begun := w.stored[id]; begun {
--- a/core/planner/record.go
+++ b/core/planner/record.go
@@ -164,7 +164,7 @@
 		case u.job.holding.allowsStart(u.needs()):
 			p.start(u, now)
 		default:
-			p.withdrawForLimit(u, now)
+			p.placeAgain(u, now)
 		}
 	}
 	if changed.index > 0 {
--- a/core/planner/restore.go
+++ b/core/planner/restore.go
@@ -21,7 +21,7 @@
 		j.state, j.stored = progress.State, progress.State
 	}
 	if j.state.Final() {
-		j.holding.unfinished--
+		j.countEnded()
 	}
 	j.reason, j.ended = progress.Reason, progress.Ended
 	for _, record := range progress.Units {
--- a/core/planner/script_test.go
+++ b/core/planner/script_test.go
@@ -95,6 +95,8 @@
 	rejectTicket bool
 	stored       map[graph.ID]storedParts
 	jobs         map[graph.ID]*graph.Job
+	// formerQueues holds the settings of removed queues that were stored last.
+	formerQueues []FormerQueue
 	// storeDown is set while no change can be stored.
 	storeDown bool
 }
@@ -120,7 +122,7 @@
 func (p *scriptRunner) runCommand(words []string) {
 	switch words[0] {
 	case "worker":
-		p.addWorker(words[1], words[2], words[3])
+		p.addWorker(words[1], words[2], words[3], words[4:])
 	case "drain":
 		p.workers[words[1]].State = roster.Draining
 		if len(words) > 2 {
@@ -182,6 +184,8 @@
 		p.changeCapacity(words[1], words[2:])
 	case "store":
 		p.storeDown = words[1] == "down"
+	case "queue":
+		p.changeQueue(words[1], words[2:])
 	case "accepting":
 		fmt.Fprintln(&p.out, words[1], p.planner.Accepts(endpoint.Name(words[1])))
 	default:
@@ -203,6 +207,38 @@
 	p.setWorkers()
 }
 
+// changeQueue puts a policy in force in which a queue has other settings, or which lacks the queue.
+func (p *scriptRunner) changeQueue(name string, settings []string) {
+	next := *p.policy
+	next.Queues = slices.Clone(p.policy.Queues)
+	i := slices.IndexFunc(next.Queues, func(q policy.Queue) bool { return q.Name == name })
+	if i < 0 {
+		i = len(next.Queues)
+		next.Queues = append(next.Queues, policy.Queue{Name: name})
+	}
+	for _, word := range settings {
+		setting, value, _ := strings.Cut(word, "=")
+		switch setting {
+		case "removed":
+			next.Queues = slices.Delete(next.Queues, i, i+1)
+		case "service":
+			next.Queues[i].Service = value
+		case "priority":
+			next.Queues[i].Priority = p.number(value)
+		case "attempts":
+			next.Queues[i].MaxAttempts = p.number(value)
+		case "advised":
+			next.Queues[i].Advice = &policy.Advice{Validity: p.duration(value)}
+		case "free":
+			next.Queues[i].Advice = nil
+		default:
+			p.t.Fatalf("unknown setting %q", word)
+		}
+	}
+	p.policy = &next
+	p.planner.SetPolicy(p.policy)
+}
+
 // reborn restarts a worker and registers it, as a worker of another kind if words contains one.
 func (p *scriptRunner) reborn(name string, words []string) {
 	w := p.workers[name]
@@ -232,10 +268,15 @@
 	return task
 }
 
-func (p *scriptRunner) addWorker(name, rack, accelerators string) {
+// addWorker adds a worker to the service "assay", or to the one that words contains.
+func (p *scriptRunner) addWorker(name, rack, accelerators string, words []string) {
 	n := int64(p.number(accelerators))
+	service := "assay"
+	if len(words) > 0 {
+		service = words[0]
+	}
 	p.workers[name] = &roster.Worker{
-		Name: endpoint.Name(name), Service: "assay", FailureDomain: domain.Name(rack[:1]), Incarnation: 1,
+		Name: endpoint.Name(name), Service: service, FailureDomain: domain.Name(rack[:1]), Incarnation: 1,
 		Capacity: resources.Amounts{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n}, Rack: endpoint.Rack(rack),
 		Labels: []string{"a", rack},
 	}
@@ -257,6 +298,7 @@
 // such as gang, rack, checkpoints, after=0 or spread=1.
 func (p *scriptRunner) submit(words []string) {
 	job := &graph.Job{ID: graph.ID(words[0]), Queue: words[1], ClientAccount: account.Name(words[2]), Accepted: p.now}
+	job.AcceptedBy, _ = policy.NewQueueIndex(p.policy).Find(policy.Address{}, job.Queue)
 	for _, word := range words[3:] {
 		if tasks, accelerators, isStep := strings.Cut(word, "x"); isStep && !strings.Contains(word, "=") && word != "max" {
 			n := int64(p.number(accelerators))
@@ -333,7 +375,17 @@
 	for _, name := range permitted {
 		tickets = append(tickets, Ticket{Worker: endpoint.Name(name), Text: "ticket-" + name})
 	}
-	p.planner.ConsultAnswered(p.question, tickets, p.policy.Queues[3].Advice.Validity, true, p.now)
+	p.planner.ConsultAnswered(p.question, tickets, p.validity(), true, p.now)
+}
+
+// validity returns the time for which tickets are valid.
+func (p *scriptRunner) validity() time.Duration {
+	for _, q := range p.policy.Queues {
+		if q.Advice != nil {
+			return q.Advice.Validity
+		}
+	}
+	return 0
 }
 
 // end ends a running task in the given way and reports it. A checkpoint of "-" stands for none.
@@ -378,6 +430,7 @@
 // takeover replaces the planner with a new one that knows only the stored progress.
 func (p *scriptRunner) takeover() {
 	p.replacePlanner()
+	p.planner.RestoreQueues(p.formerQueues)
 	var ids []string
 	for id := range p.jobs {
 		ids = append(ids, string(id))
@@ -401,6 +454,7 @@
 		var changes []Change
 		if !p.storeDown {
 			changes = p.planner.TakeChanges(100)
+			p.formerQueues = p.planner.FormerQueues()
 		}
 		for _, c := range changes {
 			p.stored[c.Progress.ID] = withPart(p.stored[c.Progress.ID], c.Progress)
--- a/core/planner/speedplace.go
+++ b/core/planner/speedplace.go
@@ -94,7 +94,7 @@
 	if u.job.queue.Priority == 0 {
 		least = urgentSpeed
 	}
-	work := p.estimator.expect(u.job.queueKey, u.spec().Estimate).Seconds()
+	work := p.estimator.expect(u.job.queue.key, u.spec().Estimate).Seconds()
 	objective := p.objective(u.job)
 	rank := p.rank(u, now)
 	begin := now.Add(startOverhead)
--- a/core/planner/stall.go
+++ b/core/planner/stall.go
@@ -60,7 +60,7 @@
 // stallTimeoutOf returns the time without progress after which a task counts as stalled.
 func (p *Planner) stallTimeoutOf(m *member) time.Duration {
 	u := m.unit
-	expected := p.estimator.expect(u.job.queueKey, u.spec().Estimate)
+	expected := p.estimator.expect(u.job.queue.key, u.spec().Estimate)
 	if m.percent > 0 {
 		expected = max(expected, m.percentAt.Sub(u.startedAt)*fullPercent/time.Duration(m.percent))
 	}
--- a/core/planner/summary.go
+++ b/core/planner/summary.go
@@ -45,6 +45,6 @@
 // objective returns the time within which a job should finish: the expected duration of its critical path times the
 // stretch factor of its queue, plus the queue's target.
 func (p *Planner) objective(j *jobState) time.Duration {
-	criticalPath := p.estimator.expect(j.queueKey, j.CriticalPath())
+	criticalPath := p.estimator.expect(j.queue.key, j.CriticalPath())
 	return time.Duration(j.queue.Stretch*float64(criticalPath)) + j.queue.Target
 }
--- a/core/planner/unit.go
+++ b/core/planner/unit.go
@@ -64,6 +64,8 @@
 	// placedAt is the time at which the unit was last assigned workers. finishedAt is the time at which the unit
 	// finished.
 	placedAt, finishedAt time.Time
+	// startSent is set once a start order of the newest run was sent to a worker.
+	startSent bool
 	// resumed is set when the newest run started from a checkpoint.
 	resumed bool
 	// triedIn is the number of the last round that tried to place the unit.
@@ -221,6 +223,7 @@
 func (u *unit) reserve(places []*worker) {
 	u.members = u.members[:0]
 	u.newestIncarnation = 0
+	u.startSent = false
 	for i, w := range places {
 		u.newestIncarnation = max(u.newestIncarnation, w.Incarnation)
 		m := &member{unit: u, index: i, worker: w, state: planned}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -86,6 +86,13 @@
 	return q.Host + q.Prefix
 }
 
+// SameScheduling reports whether two queues agree on all that decides where and when tasks run, and how often.
+func (q *Queue) SameScheduling(other *Queue) bool {
+	sameAdvice := q.Advice == other.Advice || q.Advice != nil && other.Advice != nil && *q.Advice == *other.Advice
+	return sameAdvice && q.Service == other.Service && q.Priority == other.Priority &&
+		q.MaxAttempts == other.MaxAttempts && q.Stretch == other.Stretch && q.Target == other.Target
+}
+
 // Advice holds the timing of the adviser, the service that alone knows on which workers the steps of a queue may run.
 // A task of such a queue may only start with a ticket, a permission issued by the adviser.
 type Advice struct {
--- a/io/coordinator/control.go
+++ b/io/coordinator/control.go
@@ -77,6 +77,7 @@
 			t.watchAccounts(time.Now())
 			t.removeOldJobs(ctx)
 			t.storeLearned(ctx, time.Now())
+			t.storeFormerQueues(ctx)
 		case <-t.pacer.timer.C:
 		}
 		start := time.Now()
--- a/io/coordinator/handle.go
+++ b/io/coordinator/handle.go
@@ -46,7 +46,7 @@
 	case flushDone:
 		t.finishFlush(e, now)
 	case policyChanged:
-		t.planner.SetPolicy(t.policy())
+		t.logQueueChanges(t.planner.SetPolicy(t.policy()))
 		t.waves.SetWaves(t.policy().Waves, now)
 	default:
 		t.handleOtherEvent(e, now)
--- a/io/coordinator/orders.go
+++ b/io/coordinator/orders.go
@@ -152,6 +152,9 @@
 		entry.nextTry = time.Now().Add(orderRetryPause)
 		return
 	}
+	if a, isStart := entry.action.(planner.Start); isStart && !entry.sent {
+		o.term.planner.StartSent(a)
+	}
 	entry.inFlight, entry.sent = true, true
 	action, repeated := entry.action, entry.unanswered
 	o.term.spawn(func() {
--- a/io/coordinator/takeover.go
+++ b/io/coordinator/takeover.go
@@ -40,6 +40,10 @@
 func (t *term) loadRecords(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	former, err := t.readFormerQueues(ctx)
+	if err != nil {
+		return 0, err
+	}
 	inbox, err := t.config.Store.Range(ctx, InboxPrefix)
 	if err != nil {
 		return 0, err
@@ -62,7 +66,7 @@
 		whole.Add(record)
 		progress[record.ID] = whole
 	}
-	t.restore(decodeInbox(inbox.Items, t.logSkippedRecord), progress)
+	t.restore(decodeInbox(inbox.Items, t.logSkippedRecord), progress, former)
 	t.readLearned(ctx)
 	if err := t.readWaves(ctx); err != nil {
 		return 0, err
@@ -75,9 +79,12 @@
 	t.config.Log.Error("record skipped", "error", err.Error())
 }
 
-func (t *term) restore(accepted jobsAccepted, progress map[graph.ID]graph.Progress) {
+func (t *term) restore(
+	accepted jobsAccepted, progress map[graph.ID]graph.Progress, former []planner.FormerQueue,
+) {
 	now := time.Now()
 	t.planner = planner.New(t.config.Settings, t.policy())
+	t.planner.RestoreQueues(former)
 	unplaced, ended := 0, 0
 	for _, job := range accepted.jobs {
 		record, found := progress[job.ID]
--- a/io/coordinator/term.go
+++ b/io/coordinator/term.go
@@ -73,6 +73,8 @@
 	removed map[graph.ID]removedJob
 	waves   *upkeep.Tracker
 	learned learned
+	// former is the state of the writes of the settings of removed queues.
+	former formerQueues
 	// reports holds the reports on upkeep waves that are still to be stored.
 	// reportInFlight is set while one of these reports is being stored.
 	reports        []upkeep.Record
--- a/io/coordinator/withdrawal.go
+++ b/io/coordinator/withdrawal.go
@@ -20,6 +20,8 @@
 	aboveLimit withdrawalReason = "AboveLimit"
 	// otherKind means that the worker has started again, without the task's label or in another service.
 	otherKind withdrawalReason = "OtherKind"
+	// queueChanged means that the settings of the task's queue have changed since the placement and do not allow it.
+	queueChanged withdrawalReason = "QueueChanged"
 )
 
 // withdrawalReason returns the reason to withdraw a start that was not sent, or an empty reason. It does not look at
@@ -30,6 +32,8 @@
 		return notAccepting
 	case !t.planner.Suits(a):
 		return otherKind
+	case t.planner.Outdated(a):
+		return queueChanged
 	default:
 		return ""
 	}
--- a/io/site/fleet_test.go
+++ b/io/site/fleet_test.go
@@ -273,15 +273,7 @@
 	f.store.SetValueLimit(valueLimit)
 	f.putPolicy(1)
 	for i := range workers {
-		name := endpoint.Name(fmt.Sprintf("worker-%02d", i))
-		f.workerNames = append(f.workerNames, name)
-		f.workers.Add(roster.Worker{
-			Name: name, Service: "assay", FailureDomain: domain.Name([]string{"north", "south"}[i%2]),
-			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80),
-			Capacity: fullCapacity,
-			Rack:     endpoint.Rack(fmt.Sprintf("rack-%d", i%2)), Labels: []string{usualKind},
-		})
-		f.register(name)
+		f.addWorker(i, "assay")
 	}
 	f.inventory = memworker.NewInventory(f.workers, f.updateRegistrations)
 	for i := range vms {
@@ -296,6 +288,21 @@
 	return f
 }
 
+// addWorker adds and registers the worker with the given number, in a service.
+func (f *fleet) addWorker(i int, service string) {
+	name := endpoint.Name(fmt.Sprintf("worker-%02d", i))
+	f.workers.Add(roster.Worker{
+		Name: name, Service: service, FailureDomain: domain.Name([]string{"north", "south"}[i%2]),
+		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80),
+		Capacity: fullCapacity,
+		Rack:     endpoint.Rack(fmt.Sprintf("rack-%d", i%2)), Labels: []string{usualKind},
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workerNames = append(slices.Clone(f.workerNames), name)
+	f.register(name)
+}
+
 // register stores the registration of a worker.
 func (f *fleet) register(name endpoint.Name) {
 	value, err := json.Marshal(f.workers.Info(name))
