Intake: a job that was accepted is confirmed though it no longer fits its queue's service

Callers that repeat a submission after its queue has moved to a service with smaller workers were told that the job is invalid (400), although it was accepted and is kept. A VM that had not heard of a move rejected a new job that fits the queue's new service.

Cause: CheckFit was answered at once, by the configuration that the VM knew. The check of an account's limit had been mended in the same way before: it looks for the job, and for a proof that the configuration is the newest. Both checks take that path now.

Result: TestSubmissionRepeatedAfterMove fails on the old code and passes here.

--- a/io/intake/limit_test.go
+++ b/io/intake/limit_test.go
@@ -11,6 +11,7 @@
 	"auburnstack/core/graph"
 	"auburnstack/core/policy"
 	"auburnstack/core/resources"
+	"auburnstack/core/roster"
 	"auburnstack/io/coordinator"
 	"auburnstack/io/store"
 	"auburnstack/standin/memstore"
@@ -63,6 +64,47 @@
 	})
 }
 
+// serviceCodec is like limitCodec, but without limits. The configuration holds the name of the queue's service.
+type serviceCodec struct{ limitCodec }
+
+// Decode implements policywatch.Codec.
+func (c serviceCodec) Decode(items map[string]store.Item) (*policy.Policy, error) {
+	p, err := c.codec.Decode(items)
+	p.Queues[0].Service = string(items["op/config"].Value)
+	return p, err
+}
+
+// siteWithSizes is a site with workers of two services, "small" and "large".
+type siteWithSizes struct{ siteWithPeers }
+
+// Sizes implements intake.Site.
+func (siteWithSizes) Sizes() []roster.Size {
+	return []roster.Size{
+		{Service: "small", Workers: 1, Capacity: resources.Amounts{Accelerators: 4}},
+		{Service: "large", Workers: 1, Capacity: resources.Amounts{Accelerators: 8}},
+	}
+}
+
+// TestSubmissionRepeatedAfterMove guards against a caller that is told that its job was rejected although it was
+// accepted before its queue has moved to a service with smaller workers. A rejection by an outdated configuration is
+// no better.
+func TestSubmissionRepeatedAfterMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVMOnWithCodec(t, serviceCodec{}, 0, siteWithSizes{})
+		v.service.Put("op/config", []byte("large"))
+		time.Sleep(time.Second)
+		qt.Assert(t, v.call("POST", false).Kind, qt.Equals, answer.Done)
+		v.service.Put("op/config", []byte("small"))
+		time.Sleep(time.Second)
+		qt.Check(t, v.call("POST", false).Kind, qt.Equals, answer.Done)
+		qt.Check(t, v.request("key", "POST", "/q/fedcba9876543210", false).Kind, qt.Equals, answer.Invalid)
+		v.watcher.Close()
+		v.service.Put("op/config", []byte("large"))
+		time.Sleep(2 * time.Second)
+		qt.Check(t, v.request("key", "POST", "/q/fedcba9876543210", true).Kind, qt.Not(qt.Equals), answer.Invalid)
+	})
+}
+
 // TestLimitOfOldConfiguration guards against a rejection by a configuration that may have been replaced by one with a
 // higher limit.
 func TestLimitOfOldConfiguration(t *testing.T) {
--- a/io/intake/submit.go
+++ b/io/intake/submit.go
@@ -20,11 +20,8 @@
 	if err != nil {
 		return i.answerCodingError(err)
 	}
-	if err := job.CheckFit(c.queue.Service, i.site.Sizes()); err != nil {
-		return answer.Answer{Kind: answer.Invalid, Reason: err.Error()}
-	}
-	if err := job.CheckLimit(c.snapshot.Policy.Limit(c.account)); err != nil {
-		return i.rejectOverLimit(ctx, c, job, err)
+	if err := i.checkPossible(c, job); err != nil {
+		return i.rejectImpossible(ctx, c, job, err)
 	}
 	value, err := i.encode(ctx, job)
 	if err != nil {
@@ -43,9 +40,19 @@
 	return a
 }
 
-// rejectOverLimit answers a submission that can never fit the limit of its account. It confirms a job that was accepted
-// before, when the limit was higher, and relays the submission if the limit may have been raised since.
-func (i *Intake) rejectOverLimit(ctx context.Context, c *call, job *graph.Job, reason error) answer.Answer {
+// checkPossible returns an error for a job that can never run: it fits no worker of its queue's service, or not the
+// limit of its account.
+func (i *Intake) checkPossible(c *call, job *graph.Job) error {
+	if err := job.CheckFit(c.queue.Service, i.site.Sizes()); err != nil {
+		return err
+	}
+	return job.CheckLimit(c.snapshot.Policy.Limit(c.account))
+}
+
+// rejectImpossible answers a submission of a job that can never run. It confirms a job that was accepted before, when
+// the limit was higher or the queue had another service, and relays the submission if the configuration may have
+// changed since.
+func (i *Intake) rejectImpossible(ctx context.Context, c *call, job *graph.Job, reason error) answer.Answer {
 	if !i.policyProven(c.snapshot) {
 		return i.relayOrFallback(ctx, c, i.refusal("the configuration may be outdated: "+reason.Error()))
 	}
