Scheduler: waiting jobs follow their route's pool and class

Cause: the record of a job has the pool and the class that its route had at its acceptance. The scheduler queued the job by these, and the choice of another failure domain went by the record's pool. After the operator gave the route another pool, the job waited on for the full failure domain of the earlier one, without a claim to the blocks of the new one.

Change: the scheduler takes pool and class from the route in force when a job is queued or adopted, and when the tables change for jobs that wait or wait to launch. A job whose pool is not in its failure domain any more is handed over. What runs goes on.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -52,10 +52,11 @@
 	Version       uint64
 	ClientAccount account.Name
 	Kind          route.Kind
-	Class         route.Class
-	Pool          pool.Name
-	Shape         shape.Shape
-	Payload       []byte `json:",omitempty"`
+	// Class and Pool are those of the job's route when the job was accepted. They apply if the tables lack the route.
+	Class   route.Class
+	Pool    pool.Name
+	Shape   shape.Shape
+	Payload []byte `json:",omitempty"`
 	// FailureDomain is the failure domain that schedules the job. The field is changed only by the scheduler of this
 	// failure domain or, once operators have taken the failure domain out, by another VM.
 	FailureDomain domain.Name
@@ -83,6 +84,11 @@
 	ErrMismatch = errors.New("another job has this ID")
 )
 
+// RouteKey returns the key of the job's route.
+func (r Record) RouteKey() route.Key {
+	return route.Key{ClientAccount: r.ClientAccount, Kind: r.Kind}
+}
+
 // SameSubmission reports whether two records come from the same submission: account, kind, shape and payload agree.
 func (r Record) SameSubmission(other Record) bool {
 	return r.ClientAccount == other.ClientAccount && r.Kind == other.Kind &&
--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -45,6 +45,9 @@
 	Preempted StopReason = "Preempted"
 	// DomainOut means that operators took the failure domain out.
 	DomainOut StopReason = "DomainOut"
+	// Rerouted means that the job's route has another pool or class now. Only gangs that were not launched are stopped for
+	// it.
+	Rerouted StopReason = "Rerouted"
 	// MemberLost means that a worker with a member of the gang was lost.
 	MemberLost StopReason = "MemberLost"
 	// Canceled means that the job was canceled.
--- a/core/scheduler/gang.go
+++ b/core/scheduler/gang.go
@@ -13,7 +13,11 @@
 
 // Job holds the part of a job record that the scheduler needs.
 type Job struct {
-	ID        job.ID
+	ID job.ID
+	// Route is the key of the job's route. Pool and Class are those of the route: while the job waits, as the tables in
+	// force have them or, if they lack the route, as they were last; while the job holds accelerators, as they were when
+	// these were assigned.
+	Route     route.Key
 	Pool      pool.Name
 	Class     route.Class
 	Shape     shape.Shape
@@ -24,7 +28,10 @@
 
 // FromRecord returns the Job for a job record.
 func FromRecord(r job.Record) Job {
-	return Job{ID: r.ID, Pool: r.Pool, Class: r.Class, Shape: r.Shape, Submitted: r.Submitted, Avoid: r.FailedOn}
+	return Job{
+		ID: r.ID, Route: r.RouteKey(), Pool: r.Pool, Class: r.Class, Shape: r.Shape, Submitted: r.Submitted,
+		Avoid: r.FailedOn,
+	}
 }
 
 type gangPhase int
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -96,7 +96,7 @@
 	if _, running := s.gangs[j.ID]; running {
 		return
 	}
-	s.queue.add(j)
+	s.queue.add(s.routed(j))
 	s.dirty = true
 }
 
@@ -107,7 +107,7 @@
 	if _, known := s.gangs[j.ID]; known {
 		return
 	}
-	g := &gang{Job: j, term: Borrowed, phase: launched, started: now}
+	g := &gang{Job: s.routed(j), term: Borrowed, phase: launched, started: now}
 	for _, name := range workers {
 		if w, ok := s.fleet.Lookup(name); ok {
 			g.workers = append(g.workers, w)
@@ -210,7 +210,7 @@
 	case pending:
 		s.release(g)
 		if reason != Canceled {
-			s.queue.add(g.Job)
+			s.queue.add(s.routed(g.Job))
 		}
 	case launched:
 		g.phase = stopping
--- a/core/scheduler/script_test.go
+++ b/core/scheduler/script_test.go
@@ -50,7 +50,9 @@
 	now       time.Time
 	out       strings.Builder
 	// pools holds, by pool name, the pool's section of the pools table.
-	pools     map[string]string
+	pools map[string]string
+	// routes holds, by kind, the section of the routes table of account A.
+	routes    map[string]string
 	domainOut bool
 	revision  table.Revision
 	jobs      map[job.ID]Job
@@ -62,7 +64,8 @@
 	settings.MoveAfter = 0
 	p := &sessionRunner{
 		t: t, scheduler: New("North", settings), now: time.Unix(0, 0), pools: map[string]string{},
-		jobs: map[job.ID]Job{}, workers: map[string]endpoint.Endpoint{},
+		routes: map[string]string{},
+		jobs:   map[job.ID]Job{}, workers: map[string]endpoint.Endpoint{},
 	}
 	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
 		fmt.Fprintln(&p.out, "> "+line)
@@ -77,13 +80,6 @@
 	switch words[0] {
 	case "worker":
 		p.addWorkers(words[1], words[2], words[3:])
-	case "pool":
-		p.pools[words[1]] = fmt.Sprintf("[Pool.%s]\nClientAccount = %s\nShape = %s\nCount = %s\nFailureDomains = North\n",
-			words[1], words[1], words[2], words[3])
-		p.updateTables()
-	case "domain":
-		p.domainOut = words[1] == "Out"
-		p.updateTables()
 	case "submit":
 		p.submit(words[1], words[2], words[3], words[4:])
 	case "end":
@@ -108,13 +104,48 @@
 	case "show":
 		p.show()
 	default:
-		p.t.Fatalf("unknown command %v", words)
+		p.runTableCommand(words)
 	}
 	for _, action := range p.scheduler.Decide(p.now) {
 		p.print(action)
 	}
 }
 
+// runTableCommand runs the commands that edit the tables.
+func (p *sessionRunner) runTableCommand(words []string) {
+	switch words[0] {
+	case "pool":
+		p.addPool(words[1:])
+	case "route":
+		p.routes[words[1]] = fmt.Sprintf("[Route.%s]\nClientAccount = A\nKind = %s\nClass = %s\nPool = %s\nDeadline = 1s\n",
+			words[1], words[1], words[2], words[3])
+		p.updateTables()
+	case "unroute":
+		delete(p.routes, words[1])
+		p.updateTables()
+	case "domain":
+		p.domainOut = words[1] == "Out"
+		p.updateTables()
+	default:
+		p.t.Fatalf("unknown command %v", words)
+	}
+}
+
+// addPool adds or replaces a pool with the given name, shape and count. Its account and its failure domain may follow: an
+// account of the pool's name and North are the defaults.
+func (p *sessionRunner) addPool(words []string) {
+	owner, home := words[0], "North"
+	if len(words) > 3 {
+		owner = words[3]
+	}
+	if len(words) > 4 {
+		home = words[4]
+	}
+	p.pools[words[0]] = fmt.Sprintf("[Pool.%s]\nClientAccount = %s\nShape = %s\nCount = %s\nFailureDomains = %s\n",
+		words[0], owner, words[1], words[2], home)
+	p.updateTables()
+}
+
 func (p *sessionRunner) addWorkers(rack, accelerators string, names []string) {
 	count, err := strconv.Atoi(accelerators)
 	qt.Assert(p.t, err, qt.IsNil)
@@ -132,11 +163,15 @@
 	for _, row := range p.pools {
 		text += row
 	}
+	routes := ""
+	for _, row := range p.routes {
+		routes += row
+	}
 	if p.domainOut {
 		text += "[FailureDomain.North]\nState = Out\n"
 	}
 	p.revision++
-	tables, err := table.Parse(p.revision, "", text)
+	tables, err := table.Parse(p.revision, routes, text)
 	qt.Assert(p.t, err, qt.IsNil)
 	p.scheduler.SetTables(tables, p.now)
 }
@@ -148,6 +183,10 @@
 	qt.Assert(p.t, err, qt.IsNil)
 	j := Job{ID: job.ID(id), Pool: pool.Name(name), Class: class, Shape: wanted, Submitted: p.now}
 	for _, avoided := range classAndAvoided[1:] {
+		if kind, routed := strings.CutPrefix(avoided, "kind="); routed {
+			j.Route = route.Key{ClientAccount: "A", Kind: route.Kind(kind)}
+			continue
+		}
 		j.Avoid = append(j.Avoid, endpoint.Name(avoided))
 	}
 	p.jobs[j.ID] = j
--- a/core/scheduler/tables.go
+++ b/core/scheduler/tables.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -23,9 +24,48 @@
 	}
 	s.resizePools()
 	s.blocks.bindAll()
+	s.rerouteWaiting()
 	s.dirty = true
 }
 
+// routed returns the job with the pool and class that its route has now.
+func (s *Scheduler) routed(j Job) Job {
+	if found, known := s.tables.Route(j.Route); known {
+		j.Pool, j.Class = found.Pool, found.Class
+	}
+	return j
+}
+
+// changesRoute reports whether a job's route has another pool or class now.
+func (s *Scheduler) changesRoute(j Job) bool {
+	routed := s.routed(j)
+	return routed.Pool != j.Pool || routed.Class != j.Class
+}
+
+// rerouteWaiting makes the jobs that wait, or that wait to launch, follow their routes. Launched gangs run on as they
+// are.
+func (s *Scheduler) rerouteWaiting() {
+	for _, g := range s.sortedGangs() {
+		if g.phase == pending && s.changesRoute(g.Job) {
+			s.stop(g, Rerouted)
+		}
+	}
+	for _, j := range s.queue.all() {
+		if s.changesRoute(j) {
+			s.queue.remove(j.ID)
+			s.reroute(s.routed(j))
+		}
+	}
+}
+
+// reroute queues a job whose route has changed. It suggests a move if the job's pool is not in this failure domain.
+func (s *Scheduler) reroute(j Job) {
+	s.queue.add(j)
+	if p, known := s.tables.Pool(j.Pool); known && !slices.Contains(p.FailureDomains, s.domain) {
+		s.moveIfPossible(j)
+	}
+}
+
 // leaveDomain stops every gang and suggests a move to another failure domain for every waiting job.
 func (s *Scheduler) leaveDomain() {
 	for _, g := range s.sortedGangs() {
--- a/io/controller/move.go
+++ b/io/controller/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,6 +10,7 @@
 	"auburnstack/core/destination"
 	"auburnstack/core/domain"
 	"auburnstack/core/job"
+	"auburnstack/core/pool"
 	"auburnstack/core/scheduler"
 	"auburnstack/core/timeline"
 )
@@ -38,13 +40,23 @@
 	c.background.Go(func() { c.storeMove(ctx, r, record, target) })
 }
 
+// destination returns the best failure domain for a job among those of its pool.
 func (c *Controller) destination(record job.Record) (domain.Name, bool) {
-	current := c.Follower.Current()
-	p, known := current.Pool(record.Pool)
+	p, known := c.poolOf(record)
 	if !known {
 		return "", false
 	}
-	return destination.Choose(p, record.Shape, current.IsIn, c.summary)
+	return destination.Choose(p, record.Shape, c.Follower.Current().IsIn, c.summary)
+}
+
+// poolOf returns the pool that a job's route uses now or, if there is no such route, the one that it used when the job
+// was accepted.
+func (c *Controller) poolOf(record job.Record) (pool.Pool, bool) {
+	current := c.Follower.Current()
+	if found, routed := current.Route(record.RouteKey()); routed {
+		return current.Pool(found.Pool)
+	}
+	return current.Pool(record.Pool)
 }
 
 func (c *Controller) summary(name domain.Name) (scheduler.Summary, bool) {
@@ -53,12 +65,13 @@
 }
 
 func (c *Controller) worthMoving(record job.Record, target domain.Name) bool {
-	if !c.Follower.Current().IsIn(c.home()) {
+	p, known := c.poolOf(record)
+	if !c.Follower.Current().IsIn(c.home()) || known && !slices.Contains(p.FailureDomains, c.home()) {
 		return true
 	}
 	from := c.role.scheduler.Summary()
-	to, known := c.summary(target)
-	return known && destination.Improves(record.Shape, from, to)
+	to, summarized := c.summary(target)
+	return summarized && destination.Improves(record.Shape, from, to)
 }
 
 // storeMove stores the new failure domain in the job's record, unless the record has changed since it was read.
--- a/io/entry/session_test.go
+++ b/io/entry/session_test.go
@@ -115,14 +115,19 @@
 	return s.evidence()
 }
 
-// put edits the tables through any live VM and retries with the same edit ID until the edit is accepted. It returns
-// false if no attempt succeeds.
+// put edits the pools table and puts routesText into the other one, see putTables.
 func (s *session) put(base table.Revision, pools string) bool {
+	return s.putTables(base, routesText, pools)
+}
+
+// putTables edits the tables through any live VM and retries with the same edit ID until the edit is accepted. It
+// returns false if no attempt succeeds.
+func (s *session) putTables(base table.Revision, routes, pools string) bool {
 	id := table.EditID(fmt.Sprintf("edit-%d", base))
 	for range 60 {
 		for _, node := range s.liveNodes() {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-			_, err := node.Follower.Put(ctx, base, id, routesText, pools)
+			_, err := node.Follower.Put(ctx, base, id, routes, pools)
 			cancel()
 			if err == nil {
 				return true
