Planner, coordinator: removed queues cost no more, and a late write hides no newer one

A takeover compared the settings of a removed queue with those of each newer job, and looked at all placed tasks each time, also if the settings were the same. The record of removed queues was written under the leader's key alone: a write without an answer that the store carries out late could have replaced a newer one of the same leader.

Change: equal settings change nothing; the write also depends on the record's own revision, and is repeated once a second at most.

--- a/core/planner/movedqueue_test.go
+++ b/core/planner/movedqueue_test.go
@@ -103,6 +103,21 @@
 	}
 }
 
+// TestCostOfRemovedQueue guards against a takeover that looks at all placed tasks for each job of a removed queue.
+func TestCostOfRemovedQueue(t *testing.T) {
+	p, _, now := newLimitedPlanner(testPolicy(), 6)
+	p.Submit(simpleJob("runs", "long", "gold", 6, 8, now), now)
+	settle(p, now)
+	removed := policy.Queue{Name: "removed", Host: "h", Prefix: "/removed/", Service: "assay", MaxAttempts: 2}
+	p.lastApplied = 0
+	for i := range 1000 {
+		job := simpleJob(fmt.Sprintf("job-%03d", i), "removed", "gold", 1, 8, now.Add(time.Duration(i)*time.Second))
+		job.AcceptedBy = removed
+		p.Submit(job, now)
+	}
+	qt.Check(t, p.lastApplied, qt.Equals, 0)
+}
+
 // TestQueuesWithoutJobsAreForgotten guards against a leader whose memory grows with each queue that ever was, and
 // against records of removed queues that nobody needs.
 func TestQueuesWithoutJobsAreForgotten(t *testing.T) {
--- a/core/planner/queue.go
+++ b/core/planner/queue.go
@@ -57,15 +57,22 @@
 		p.follow(ref, q)
 	}
 	if !q.inForce && job.Accepted.After(q.lastKnown) && job.AcceptedBy.Service != "" {
-		before := q.Queue
 		q.lastKnown = job.Accepted
-		q.set(ref, job.AcceptedBy)
-		p.applySettings(map[*queue]policy.Queue{q: before})
+		p.adopt(ref, q, job.AcceptedBy)
 	}
 	p.anyAdvised = p.anyAdvised || q.Advice != nil
 	return q
 }
 
+// adopt gives a queue that the policy lacks the settings that the acceptance of a job has shown.
+func (p *Planner) adopt(ref queueRef, q *queue, settings policy.Queue) {
+	before := q.Queue
+	q.set(ref, settings)
+	if !settings.SameScheduling(&before) {
+		p.applySettings(map[*queue]policy.Queue{q: before})
+	}
+}
+
 // follow takes the settings of a queue from the policy in force if the policy has the queue.
 func (p *Planner) follow(ref queueRef, q *queue) {
 	settings, found := p.queueIndex.Find(ref.Address, ref.name)
--- a/io/coordinator/control.go
+++ b/io/coordinator/control.go
@@ -77,7 +77,7 @@
 			t.watchAccounts(time.Now())
 			t.removeOldJobs(ctx)
 			t.storeLearned(ctx, time.Now())
-			t.storeFormerQueues(ctx)
+			t.storeFormerQueues(ctx, time.Now())
 		case <-t.pacer.timer.C:
 		}
 		start := time.Now()
--- a/io/coordinator/formerqueues.go
+++ b/io/coordinator/formerqueues.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -12,14 +13,22 @@
 	"auburnstack/io/store"
 )
 
-// formerQueuesKey is the key of the last settings of queues that were removed while they had unfinished jobs.
-const formerQueuesKey = "auburnstack/queues/former"
+const (
+	// formerQueuesKey is the key of the last settings of queues that were removed while they had unfinished jobs.
+	formerQueuesKey = "auburnstack/queues/former"
+	// formerQueuesPause is the least time between two writes under formerQueuesKey.
+	formerQueuesPause = time.Second
+)
 
 // formerQueues is the state of the writes under formerQueuesKey. It belongs to the control goroutine, except for the
 // atomic fields.
 type formerQueues struct {
-	// stored is the value that the last write contains.
-	stored           []byte
+	// stored is the value that the last write contains, and writtenAt the time of that write.
+	stored    []byte
+	writtenAt time.Time
+	// revision is the revision of the key as far as it is known, 0 if the key is absent. While a write is in flight, only
+	// the goroutine of the write may access it.
+	revision         store.Revision
 	inFlight, failed atomic.Bool
 }
 
@@ -29,7 +38,7 @@
 // readFormerQueues returns the settings of removed queues that an earlier leader has stored. If they can't be decoded,
 // the jobs go on with the settings of their acceptance.
 func (t *term) readFormerQueues(ctx context.Context) ([]planner.FormerQueue, error) {
-	t.former.stored = noFormerQueues
+	t.former.stored, t.former.revision = noFormerQueues, 0
 	item, err := t.config.Store.Get(ctx, formerQueuesKey)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
@@ -42,13 +51,13 @@
 		t.logSkippedRecord(errors.WithMessagef(err, "the record %s can't be read", formerQueuesKey))
 		former = nil
 	}
-	t.former.stored = item.Value
+	t.former.stored, t.former.revision = item.Value, item.Revision
 	return former, nil
 }
 
 // storeFormerQueues writes the settings of removed queues if they have changed since the last write, or if that failed.
-func (t *term) storeFormerQueues(ctx context.Context) {
-	if t.former.inFlight.Load() {
+func (t *term) storeFormerQueues(ctx context.Context, now time.Time) {
+	if t.former.inFlight.Load() || now.Sub(t.former.writtenAt) < formerQueuesPause {
 		return
 	}
 	value, err := json.Marshal(t.planner.FormerQueues())
@@ -59,7 +68,7 @@
 	if bytes.Equal(value, t.former.stored) && !t.former.failed.Load() {
 		return
 	}
-	t.former.stored = value
+	t.former.stored, t.former.writtenAt = value, now
 	t.former.inFlight.Store(true)
 	t.spawn(func() {
 		defer t.former.inFlight.Store(false)
@@ -71,14 +80,23 @@
 	})
 }
 
-// putFormerQueues writes a value under formerQueuesKey. The write depends only on the leader's key.
+// putFormerQueues writes a value under formerQueuesKey, unless another write has changed the key since: an earlier one
+// without an answer may be carried out late. The next attempt knows of such a write.
 func (t *term) putFormerQueues(ctx context.Context, value []byte) error {
 	transaction := store.Transaction{
-		Conditions: []store.Condition{t.role.Condition()}, Puts: []store.Put{{Key: formerQueuesKey, Value: value}},
+		Conditions: []store.Condition{t.role.Condition(), {Key: formerQueuesKey, Revision: t.former.revision}},
+		Puts:       []store.Put{{Key: formerQueuesKey, Value: value}},
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+transaction.TransferTime())
 	defer cancel()
-	_, err := t.config.Store.Commit(ctx, transaction)
+	revision, err := t.config.Store.Commit(ctx, transaction)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		t.former.revision = revision
+	case errors.As(err, &conflict):
+		t.former.revision = conflict.Item(formerQueuesKey).Revision
+	}
 	return err
 }
 
