--- a/core/planner/property_test.go
+++ b/core/planner/property_test.go
@@ -383,6 +383,21 @@
 	return ""
 }
 
+// finish ends tasks until all jobs have ended.
+func (w *simulatedSite) finish() {
+	for range 200 {
+		if w.unfinished() == "" {
+			return
+		}
+		w.sleep(500 * time.Millisecond)
+		for range 4 {
+			w.endTask(EndDone)
+			w.decide()
+		}
+	}
+	w.t.Fatalf("%s has not ended", w.unfinished())
+}
+
 func sortTasks(list []graph.TaskID) {
 	for i := range list {
 		for j := i; j > 0 && list[j].String() < list[j-1].String(); j-- {
@@ -427,16 +442,6 @@
 			w.decide()
 		}
 		w.heal()
-		for range 200 {
-			if w.unfinished() == "" {
-				return
-			}
-			w.sleep(500 * time.Millisecond)
-			for range 4 {
-				w.endTask(EndDone)
-				w.decide()
-			}
-		}
-		rt.Fatalf("%s has not ended", w.unfinished())
+		w.finish()
 	})
 }
--- a/core/planner/queueproperty_test.go
+++ b/core/planner/queueproperty_test.go
@@ -143,16 +143,6 @@
 			s.decide()
 		}
 		s.heal()
-		for range 200 {
-			if s.unfinished() == "" {
-				return
-			}
-			s.sleep(500 * time.Millisecond)
-			for range 4 {
-				s.endTask(EndDone)
-				s.decide()
-			}
-		}
-		rt.Fatalf("%s has not ended", s.unfinished())
+		s.finish()
 	})
 }
