Coordinator: the record of removed queues costs a takeover no call

It was read by a call of its own before the records of jobs. Without removed queues nothing is read, written or kept.

--- a/io/coordinator/formerqueues.go
+++ b/io/coordinator/formerqueues.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// formerQueuesKey is the key of the last settings of queues that were removed while they had unfinished jobs.
-	formerQueuesKey = "auburnstack/queues/former"
+	// formerQueuesKey is the key of the last settings of queues that were removed while they had unfinished jobs. It has
+	// the prefix of jobs' progress, so that a new leader reads both with one call. It is no key of a job.
+	formerQueuesKey = progressPrefix + "former-queues"
 	// formerQueuesPause is the least time between two writes under formerQueuesKey.
 	formerQueuesPause = time.Second
 )
@@ -32,27 +33,21 @@
 	inFlight, failed atomic.Bool
 }
 
-// noFormerQueues is the value while no removed queue has unfinished jobs. An absent key means the same.
-var noFormerQueues = []byte("null")
+// formerRecord is the value under formerQueuesKey. An absent one has no queues.
+type formerRecord struct {
+	FormerQueues []planner.FormerQueue
+}
 
-// readFormerQueues returns the settings of removed queues that an earlier leader has stored. If they can't be decoded,
-// the jobs go on with the settings of their acceptance.
-func (t *term) readFormerQueues(ctx context.Context) ([]planner.FormerQueue, error) {
-	t.former.stored, t.former.revision = noFormerQueues, 0
-	item, err := t.config.Store.Get(ctx, formerQueuesKey)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	var former []planner.FormerQueue
-	if err := json.Unmarshal(item.Value, &former); err != nil {
-		t.logSkippedRecord(errors.WithMessagef(err, "the record %s can't be read", formerQueuesKey))
-		former = nil
-	}
+// readFormerQueues returns the settings of removed queues in a record that an earlier leader has stored. If it can't be
+// decoded, the jobs go on with the settings of their acceptance.
+func (t *term) readFormerQueues(item store.Item) []planner.FormerQueue {
 	t.former.stored, t.former.revision = item.Value, item.Revision
-	return former, nil
+	var record formerRecord
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		t.logSkippedRecord(errors.WithMessagef(err, "the record %s can't be read", item.Key))
+		return nil
+	}
+	return record.FormerQueues
 }
 
 // storeFormerQueues writes the settings of removed queues if they have changed since the last write, or if that failed.
@@ -60,7 +55,11 @@
 	if t.former.inFlight.Load() || now.Sub(t.former.writtenAt) < formerQueuesPause {
 		return
 	}
-	value, err := json.Marshal(t.planner.FormerQueues())
+	former := t.planner.FormerQueues()
+	if len(former) == 0 && t.former.stored == nil {
+		return
+	}
+	value, err := json.Marshal(formerRecord{FormerQueues: former})
 	if err != nil {
 		t.config.Log.Error("encoding removed queues failed", "error", err.Error())
 		return
--- a/io/coordinator/formerqueues_test.go
+++ b/io/coordinator/formerqueues_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,12 +37,8 @@
 		read := func() []planner.FormerQueue {
 			item, err := c.config.Store.Get(context.Background(), formerQueuesKey)
 			qt.Assert(t, err, qt.IsNil)
-			var former []planner.FormerQueue
-			qt.Assert(t, json.Unmarshal(item.Value, &former), qt.IsNil)
-			return former
+			return newTestTerm(c.worker).readFormerQueues(item)
 		}
-		_, err := c.readFormerQueues(context.Background())
-		qt.Assert(t, err, qt.IsNil)
 		service.SetFaults(memstore.Faults{Refuse: true})
 		c.removeQueue()
 		service.SetFaults(memstore.Faults{})
@@ -52,7 +47,7 @@
 		qt.Check(t, read()[0].Service, qt.Equals, "assay")
 
 		// A write without an answer, which was carried out late, has changed the key.
-		service.Put(formerQueuesKey, []byte("null"))
+		service.Put(formerQueuesKey, []byte("{}"))
 		c.moveQueue("spare")
 		c.removeQueue()
 		c.storeFormer()
--- a/io/coordinator/takeover.go
+++ b/io/coordinator/takeover.go
@@ -40,10 +40,6 @@
 func (t *term) loadRecords(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	former, err := t.readFormerQueues(ctx)
-	if err != nil {
-		return 0, err
-	}
 	inbox, err := t.config.Store.Range(ctx, InboxPrefix)
 	if err != nil {
 		return 0, err
@@ -54,7 +50,13 @@
 	}
 	progress := map[graph.ID]graph.Progress{}
 	t.revisions = map[string]store.Revision{}
+	t.former.stored, t.former.revision = nil, 0
+	var former []planner.FormerQueue
 	for _, item := range records.Items {
+		if item.Key == formerQueuesKey {
+			former = t.readFormerQueues(item)
+			continue
+		}
 		// The job of a record that can't be decoded is planned anew, and its new record replaces the old one.
 		t.revisions[item.Key] = item.Revision
 		record, err := DecodeProgress(item)
